--- a/configuration/register.go
+++ b/configuration/register.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/chart"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
 
@@ -20,8 +20,8 @@
 
 // Table is the part of the platform's table that a register needs.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error)
+	Get(ctx context.Context, key string) (tablestore.Row, error)
+	Put(ctx context.Context, key string, value []byte, expected tablestore.Version) (tablestore.Version, error)
 }
 
 // Register is the row of the table. Its methods are safe for concurrent use.
@@ -78,7 +78,7 @@
 	return c, err
 }
 
-func (r Register) read(ctx context.Context, decode func([]byte) (Configuration, error)) (Configuration, platform.Version, error) {
+func (r Register) read(ctx context.Context, decode func([]byte) (Configuration, error)) (Configuration, tablestore.Version, error) {
 	row, err := r.Table.Get(ctx, Key)
 	if err != nil || row.Version == 0 {
 		return Configuration{}, 0, err
@@ -122,7 +122,7 @@
 
 // store writes until the outcome is known. The same value is written over the
 // same version each time, so that it takes effect at most once.
-func (r Register) store(ctx context.Context, p *Proposal, next Configuration, value []byte, version platform.Version) error {
+func (r Register) store(ctx context.Context, p *Proposal, next Configuration, value []byte, version tablestore.Version) error {
 	doubt := false
 	for {
 		_, err := r.Table.Put(ctx, Key, value, version)
@@ -131,11 +131,11 @@
 			p.step("Stored")
 			p.Accepted = next
 			return nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, tablestore.ErrConflict):
 			return r.settle(ctx, p, next)
-		case errors.Is(err, platform.ErrUnavailable) && !doubt:
+		case errors.Is(err, tablestore.ErrUnavailable) && !doubt:
 			return errors.Annotate(err, "configuration was not written")
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, tablestore.ErrUnknown):
 			doubt = true
 		}
 		if !timer.Sleep(ctx, settlePause) {
--- a/configuration/register_test.go
+++ b/configuration/register_test.go
@@ -14,7 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/configuration"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 func TestLosingOperatorGetsTheConflict(t *testing.T) {
@@ -72,7 +72,7 @@
 }
 
 func TestFieldsOfALaterReleaseAreReadButNotLost(t *testing.T) {
-	later := &table{row: platform.Row{Version: 1, Value: []byte(`{"Version": 1, "Later": true}`)}}
+	later := &table{row: tablestore.Row{Version: 1, Value: []byte(`{"Version": 1, "Later": true}`)}}
 	r := configuration.Register{Table: later}
 	c, err := r.Read(context.Background())
 	qt.Assert(t, err, qt.IsNil)
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -5,14 +5,14 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // table is a row whose writes lose their answers, before or after they take
 // effect, as a seed decides.
 type table struct {
 	mu     sync.Mutex
-	row    platform.Row
+	row    tablestore.Row
 	random *rand.Rand
 	// lost is the chance in percent that a write has no answer.
 	lost int
@@ -20,16 +20,16 @@
 	beforeWrite func()
 }
 
-func (t *table) Get(context.Context, string) (platform.Row, error) {
+func (t *table) Get(context.Context, string) (tablestore.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.random != nil && t.random.IntN(100) < t.lost {
-		return platform.Row{}, platform.ErrUnavailable
+		return tablestore.Row{}, tablestore.ErrUnavailable
 	}
 	return t.row, nil
 }
 
-func (t *table) Put(_ context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (t *table) Put(_ context.Context, key string, value []byte, expected tablestore.Version) (tablestore.Version, error) {
 	if t.beforeWrite != nil {
 		t.beforeWrite()
 	}
@@ -37,14 +37,14 @@
 	defer t.mu.Unlock()
 	lost := t.random != nil && t.random.IntN(100) < t.lost
 	if lost && t.random.IntN(2) == 0 {
-		return 0, platform.ErrUnknown
+		return 0, tablestore.ErrUnknown
 	}
 	if t.row.Version != expected {
-		return 0, platform.ErrConflict
+		return 0, tablestore.ErrConflict
 	}
-	t.row = platform.Row{Key: key, Version: expected + 1, Value: value}
+	t.row = tablestore.Row{Key: key, Version: expected + 1, Value: value}
 	if lost {
-		return 0, platform.ErrUnknown
+		return 0, tablestore.ErrUnknown
 	}
 	return t.row.Version, nil
 }
--- a/demo/cell.go
+++ b/demo/cell.go
@@ -13,9 +13,9 @@
 
 	"github.com/vanillaquay/vanillaquay/entry"
 	"github.com/vanillaquay/vanillaquay/loopback"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/settings"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
@@ -71,7 +71,7 @@
 		platform: platformstandin.New(), log: log, history: newHistory(),
 		agents: map[string]*agent{}, hosts: map[string]*host{},
 	}
-	address, server, err := serve("127.0.0.1:0", c.platform.Handler())
+	address, server, err := serve("127.0.0.1:0", c.tablestore.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -93,8 +93,8 @@
 	if err != nil {
 		return err
 	}
-	c.platform.SetHost(platform.Host{
-		ID: name, Rack: rack, Zone: region + "-" + rack, Region: region, Address: a.address, State: platform.Live,
+	c.tablestore.SetHost(tablestore.Host{
+		ID: name, Rack: rack, Zone: region + "-" + rack, Region: region, Address: a.address, State: tablestore.Live,
 	})
 	return nil
 }
--- a/entry/cell_test.go
+++ b/entry/cell_test.go
@@ -21,9 +21,9 @@
 	"github.com/vanillaquay/vanillaquay/loopback"
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/settings"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
@@ -90,8 +90,8 @@
 	}
 	for i := range racks * len(regions) {
 		region := regions[i%len(regions)]
-		c.server.SetHost(platform.Host{ID: fmt.Sprintf("w%d", i), Region: region, Zone: region + "-0",
-			Rack: fmt.Sprintf("%s-r%d", region, i/len(regions)), Address: "127.0.0.1:1", State: platform.Live})
+		c.server.SetHost(tablestore.Host{ID: fmt.Sprintf("w%d", i), Region: region, Zone: region + "-0",
+			Rack: fmt.Sprintf("%s-r%d", region, i/len(regions)), Address: "127.0.0.1:1", State: tablestore.Live})
 	}
 	for i := range entries {
 		region := regions[i%len(regions)]
@@ -257,7 +257,7 @@
 	if front != nil {
 		address = front(address)
 	}
-	c.server.SetHost(platform.Host{ID: id, Region: region, Zone: region + "-0", Rack: rack, Address: address, State: platform.Live})
+	c.server.SetHost(tablestore.Host{ID: id, Region: region, Zone: region + "-0", Rack: rack, Address: address, State: tablestore.Live})
 	return agent
 }
 
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -11,9 +11,9 @@
 	"github.com/vanillaquay/vanillaquay/configuration"
 	"github.com/vanillaquay/vanillaquay/decision"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rackowner"
 	"github.com/vanillaquay/vanillaquay/ring"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 )
 
@@ -101,7 +101,7 @@
 // interval returns the pause between two looks, which grows with the members so
 // that their reads stay within the budget.
 func (d *configureDuty) interval() time.Duration {
-	stretched := time.Duration(d.host.roster.Count()) * readsPerLook * time.Second / platform.ReadBudget
+	stretched := time.Duration(d.host.roster.Count()) * readsPerLook * time.Second / tablestore.ReadBudget
 	return min(max(stretched, configureInterval), maxConfigureInterval)
 }
 
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -8,13 +8,13 @@
 
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // takeOver claims a thing that nobody decides for.
 func (h *Host) takeOver(ctx context.Context, t thing, self member.Member) error {
 	claim, err := h.claim(ctx, t, self)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, tablestore.ErrConflict) {
 		return nil
 	}
 	if err != nil {
@@ -31,7 +31,7 @@
 		t.give(t.name)
 	}
 	claim, err := h.claim(ctx, t, to)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, tablestore.ErrConflict) {
 		return err
 	}
 	h.owning.handed.Store(true)
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,9 +17,9 @@
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rackowner"
 	"github.com/vanillaquay/vanillaquay/settings"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
 
@@ -38,7 +38,7 @@
 	settings  settings.Settings
 	own       settings.Host
 	log       *logrus.Logger
-	platform  *platform.Client
+	platform  *tablestore.Client
 	layout    partition.Layout
 	lease     *member.Lease
 	roster    member.Roster
@@ -70,7 +70,7 @@
 	if !ok {
 		return nil, errors.NotFoundf("host %q in the settings", name)
 	}
-	client := platform.NewClient(s.Platform, 0)
+	client := tablestore.NewClient(s.Platform, 0)
 	h := &Host{
 		name: name, settings: s, own: own, log: log, platform: client, stopping: make(chan struct{}),
 		layout: partition.Layout{Regions: s.Regions, PerRegion: s.PartitionsPerRegion},
--- a/entry/journals.go
+++ b/entry/journals.go
@@ -8,9 +8,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/journal"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
+	"github.com/vanillaquay/vanillaquay/wal"
 )
 
 // journalBurst is the number of rows that a host writes without a pause after it
@@ -35,10 +35,10 @@
 	journals  *journals
 	partition string
 	epoch     uint64
-	duty      *journal.Duty
+	duty      *wal.Duty
 }
 
-var _ journal.Listener = (*journalKeeper)(nil)
+var _ wal.Listener = (*journalKeeper)(nil)
 
 func newJournals(h *Host) *journals {
 	return &journals{
@@ -51,8 +51,8 @@
 func (j *journals) open(name string, epoch uint64) {
 	j.drop(name)
 	k := &journalKeeper{background: newBackground(), journals: j, partition: name, epoch: epoch}
-	store := journal.Store{Table: j.host.platform, Objects: j.host.platform}
-	k.duty = journal.NewDuty(store, name, j.host.name, epoch, j.pace, k)
+	store := wal.Store{Table: j.host.platform, Objects: j.host.platform}
+	k.duty = wal.NewDuty(store, name, j.host.name, epoch, j.pace, k)
 	j.mu.Lock()
 	j.keepers[name] = k
 	j.share()
@@ -63,7 +63,7 @@
 // share sets the pace to this host's part of the budget, with j.mu held.
 func (j *journals) share() {
 	all := len(j.host.layout.Regions) * j.host.layout.PerRegion
-	j.pace.SetLimit(rate.Limit(float64(platform.JournalWrites*len(j.keepers)) / float64(all)))
+	j.pace.SetLimit(rate.Limit(float64(tablestore.JournalWrites*len(j.keepers)) / float64(all)))
 }
 
 // drop ends the duty of a partition once it has written what it has taken, and
@@ -124,7 +124,7 @@
 // duty took it; if not, the entry is certainly not durable.
 func (j *journals) append(r decision.Record) bool {
 	k, ok := j.keeper(r.Partition)
-	return ok && k.duty.Put(journal.Item{Token: r.Token, Entry: r.Entry}) == nil
+	return ok && k.duty.Put(wal.Item{Token: r.Token, Entry: r.Entry}) == nil
 }
 
 // close ends the duty after what it has taken is written, within a bound.
@@ -134,23 +134,23 @@
 	k.stop()
 }
 
-// Recovered implements journal.Listener.
+// Recovered implements wal.Listener.
 func (k *journalKeeper) Recovered(entries []record.Entry) {
 	k.journals.host.log.Infof("Journal: partition %s is open with %d entries.", k.partition, len(entries))
 	k.journals.host.decide.put(decision.Recovered{Partition: k.partition, Entries: entries})
 }
 
-// Recorded implements journal.Listener.
+// Recorded implements wal.Listener.
 func (k *journalKeeper) Recorded(token uint64) {
 	k.journals.host.decide.put(decision.Recorded{Token: token})
 }
 
-// Failed implements journal.Listener.
+// Failed implements wal.Listener.
 func (k *journalKeeper) Failed(token uint64, inDoubt bool) {
 	k.journals.host.decide.put(decision.RecordFailed{Token: token, InDoubt: inDoubt})
 }
 
-// Due implements journal.Listener. The request passes through the events of the
+// Due implements wal.Listener. The request passes through the events of the
 // core behind every Recorded of the entries that the snapshot must hold.
 func (k *journalKeeper) Due(covers uint64) {
 	k.journals.host.decide.then(func(core *decision.Core) {
@@ -158,7 +158,7 @@
 	})
 }
 
-// Fenced implements journal.Listener.
+// Fenced implements wal.Listener.
 func (k *journalKeeper) Fenced() {
 	k.journals.host.log.Warnf("Journal: partition %s has another owner.", k.partition)
 	go k.journals.dropKeeper(k)
--- a/entry/listed.go
+++ b/entry/listed.go
@@ -4,12 +4,12 @@
 	"slices"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // listRacks tells the core which racks the platform lists, if they have changed.
 // Only one look at a time calls it.
-func (h *Host) listRacks(hosts []platform.Host) {
+func (h *Host) listRacks(hosts []tablestore.Host) {
 	var racks []string
 	for _, w := range hosts {
 		racks = append(racks, w.Rack)
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -9,7 +9,7 @@
 
 	"github.com/vanillaquay/vanillaquay/configuration"
 	"github.com/vanillaquay/vanillaquay/operator"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // operators is what a host offers to its operators.
@@ -52,7 +52,7 @@
 func (o operators) KnowsWorker(id string) bool {
 	o.racks.mu.Lock()
 	defer o.racks.mu.Unlock()
-	return slices.ContainsFunc(o.racks.hosts, func(w platform.Host) bool { return w.ID == id })
+	return slices.ContainsFunc(o.racks.hosts, func(w tablestore.Host) bool { return w.ID == id })
 }
 
 // Ready implements operator.Cell.
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -15,9 +15,9 @@
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rackowner"
 	"github.com/vanillaquay/vanillaquay/ring"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Pace of membership and ownership.
@@ -86,7 +86,7 @@
 			h.log.Warnf("Ownership: %v.", err)
 		}
 		members := h.roster.Count()
-		interval := max(ownershipInterval, time.Duration(members)*readsPerLook*time.Second/platform.ReadBudget)
+		interval := max(ownershipInterval, time.Duration(members)*readsPerLook*time.Second/tablestore.ReadBudget)
 		if !h.rest(ctx, jitter(interval)) {
 			return nil
 		}
@@ -165,7 +165,7 @@
 // other, so that a slow one holds no other up.
 func (h *Host) balance(ctx context.Context) error {
 	members := h.neighbours()
-	h.owning.pace.SetLimit(rate.Limit(platform.OwnershipWrites) / rate.Limit(max(1, h.roster.Count())))
+	h.owning.pace.SetLimit(rate.Limit(tablestore.OwnershipWrites) / rate.Limit(max(1, h.roster.Count())))
 	var group errgroup.Group
 	group.SetLimit(claimsAtOnce)
 	for _, t := range h.things() {
--- a/entry/pace_test.go
+++ b/entry/pace_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // TestStoreWritesStayInBudget lets eight hosts take far more work that needs a
@@ -40,7 +40,7 @@
 	t.Logf("%d pieces of work recorded, %.0f a second", accepted.Load(), float64(accepted.Load())/took)
 	t.Logf("%d writes, %.0f a second, at most %d in one second; %.0f reads a second",
 		writes, float64(writes)/took, after.PeakWrites, float64(reads)/took)
-	qt.Assert(t, after.PeakWrites < platform.WriteBudget, qt.IsTrue)
+	qt.Assert(t, after.PeakWrites < tablestore.WriteBudget, qt.IsTrue)
 	qt.Assert(t, accepted.Load() > 2*writes, qt.IsTrue)
 }
 
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/rackowner"
 	"github.com/vanillaquay/vanillaquay/ring"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Pace of the duty that decides for racks.
@@ -40,7 +40,7 @@
 
 	mu sync.Mutex
 	// hosts is the platform's list of workers as last read.
-	hosts []platform.Host
+	hosts []tablestore.Host
 	// drained holds the workers that operators drain.
 	drained map[string]bool
 	// owned holds the epochs under which this host owns racks.
@@ -99,7 +99,7 @@
 	d.host.log.Warnf("Rack: %s has another owner under epoch %d.", name, epoch)
 }
 
-func (d *rackDuty) setHosts(hosts []platform.Host) {
+func (d *rackDuty) setHosts(hosts []tablestore.Host) {
 	d.mu.Lock()
 	d.hosts = hosts
 	d.mu.Unlock()
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -6,14 +6,14 @@
 	"github.com/vanillaquay/vanillaquay/decision"
 	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
 // Open implements rackowner.Port.
-func (d *rackDuty) Open(rackName string, epoch uint64, h platform.Host) {
+func (d *rackDuty) Open(rackName string, epoch uint64, h tablestore.Host) {
 	d.links.open(rackName, epoch, h)
 }
 
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
@@ -22,7 +22,7 @@
 // workerName names a worker in a rack.
 type workerName struct{ rack, worker string }
 
-func (l *workerLinks) open(rackName string, epoch uint64, h platform.Host) {
+func (l *workerLinks) open(rackName string, epoch uint64, h tablestore.Host) {
 	if l.links == nil {
 		l.links = map[workerName]*worker.Link{}
 	}
--- a/member/fence.go
+++ b/member/fence.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // looksOfOthers is the number of looks that must have found a lease lapsed before
@@ -21,7 +21,7 @@
 // to those that could take over from them: where a region is cut off from the
 // table nobody could, and its members go on once the cut heals. Fence reports
 // whether it has fenced a member.
-func (r *Roster) Fence(ctx context.Context, table platform.Table, self Member) (done bool, err error) {
+func (r *Roster) Fence(ctx context.Context, table tablestore.Table, self Member) (done bool, err error) {
 	lapsed, gone := r.overdue(self)
 	for _, s := range lapsed {
 		value, err := json.Marshal(s.member.WithState("Fenced"))
@@ -33,12 +33,12 @@
 		case err == nil:
 			r.fenced(s, version)
 			done = true
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, tablestore.ErrConflict):
 			return done, errors.Annotatef(err, "fence of member %s", s.member.ID)
 		}
 	}
 	for _, s := range gone {
-		if err := table.Delete(ctx, Prefix+s.member.ID, s.version); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := table.Delete(ctx, Prefix+s.member.ID, s.version); err != nil && !errors.Is(err, tablestore.ErrConflict) {
 			return done, errors.Annotatef(err, "row of member %s", s.member.ID)
 		}
 	}
@@ -47,7 +47,7 @@
 
 // fenced notes at once that a member was fenced, so that what it owned is taken
 // in the same round.
-func (r *Roster) fenced(s sighting, version platform.Version) {
+func (r *Roster) fenced(s sighting, version tablestore.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.member = s.member.WithState("Fenced")
--- a/member/fence_test.go
+++ b/member/fence_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/member"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 const (
@@ -28,17 +28,17 @@
 
 // counted is a table that takes its time and counts the writes that fence.
 type counted struct {
-	platform.Table
+	tablestore.Table
 	mu     sync.Mutex
 	fences int
 }
 
-func (c *counted) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *counted) List(ctx context.Context, prefix, after string, limit int) ([]tablestore.Row, error) {
 	time.Sleep(trip)
 	return c.Table.List(ctx, prefix, after, limit)
 }
 
-func (c *counted) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (c *counted) Put(ctx context.Context, key string, value []byte, expected tablestore.Version) (tablestore.Version, error) {
 	time.Sleep(trip)
 	if strings.Contains(string(value), "Fenced") {
 		c.mu.Lock()
--- a/member/lease.go
+++ b/member/lease.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/chart"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 var memberChart = chart.MustLoad("Member")
@@ -28,7 +28,7 @@
 // Lease is this host's own row. Use NewLease to make one. It is safe for
 // concurrent use.
 type Lease struct {
-	table platform.Table
+	table tablestore.Table
 	// renewing is held while the row is written, so that renewals follow each
 	// other.
 	renewing sync.Mutex
@@ -38,13 +38,13 @@
 	// state is a state of the chart Member.
 	state chart.State
 	// version is that of the row as last written; 0 before the first write.
-	version platform.Version
+	version tablestore.Version
 	// until is when the lease lapses on this host's monotonic clock.
 	until time.Time
 }
 
 // NewLease returns a lease that is not held yet.
-func NewLease(table platform.Table, m Member) *Lease {
+func NewLease(table tablestore.Table, m Member) *Lease {
 	return &Lease{table: table, member: m, state: memberChart.Initial()}
 }
 
@@ -106,7 +106,7 @@
 // ok is false if the member is gone, or was fenced and has not rejoined.
 // Each try has a beat of its own: a row that is found must be told from that of
 // an earlier try, from which the lease would last longer than others think.
-func (l *Lease) next(length time.Duration) (next Member, version platform.Version, ok bool) {
+func (l *Lease) next(length time.Duration) (next Member, version tablestore.Version, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.member.Instance == "" || memberChart.Final(l.state) {
@@ -122,7 +122,7 @@
 
 // write stores the row. The first write of an instance replaces whatever row an
 // earlier instance of the same host left behind.
-func (l *Lease) write(ctx context.Context, id string, value []byte, version platform.Version) (platform.Version, error) {
+func (l *Lease) write(ctx context.Context, id string, value []byte, version tablestore.Version) (tablestore.Version, error) {
 	key := Prefix + id
 	if version == 0 {
 		row, err := l.table.Get(ctx, key)
@@ -132,7 +132,7 @@
 		version = row.Version
 	}
 	written, err := l.table.Put(ctx, key, value, version)
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, tablestore.ErrUnavailable) {
 		return written, err
 	}
 	row, readErr := l.table.Get(ctx, key)
@@ -150,7 +150,7 @@
 
 // taken tells what it means that the row is not what this instance wrote last.
 // An earlier renewal may have taken effect although its answer was lost.
-func (l *Lease) taken(row platform.Row, err error) (platform.Version, error) {
+func (l *Lease) taken(row tablestore.Row, err error) (tablestore.Version, error) {
 	m, decodeErr := Decode(row.Value)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -167,7 +167,7 @@
 	}
 }
 
-func (l *Lease) renewed(m Member, version platform.Version, sent time.Time) {
+func (l *Lease) renewed(m Member, version tablestore.Version, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.member, l.version, l.until = m, version, sent.Add(m.Lease)
--- a/member/member.go
+++ b/member/member.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Pace of the leases of a cell so small that the budget of writes allows it.
@@ -28,9 +28,9 @@
 
 // Interval returns the pause between two renewals in a cell with the given
 // number of members. It stretches so that all renewals together stay within
-// platform.HeartbeatWrites.
+// tablestore.HeartbeatWrites.
 func Interval(members int) time.Duration {
-	return max(HeartbeatInterval, time.Duration(members)*time.Second/platform.HeartbeatWrites)
+	return max(HeartbeatInterval, time.Duration(members)*time.Second/tablestore.HeartbeatWrites)
 }
 
 // Member is the content of a member's row. It is immutable.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -11,20 +11,20 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/member"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // host is a member that beats and looks at the others, as an entry host does.
 type host struct {
-	table  platform.Table
+	table  tablestore.Table
 	lease  *member.Lease
 	roster member.Roster
 	// paused makes the host do nothing.
 	paused bool
 }
 
-func newHost(table platform.Table, id, region string) *host {
+func newHost(table tablestore.Table, id, region string) *host {
 	return &host{table: table, lease: member.NewLease(table, member.Member{ID: id, Instance: id + "-1", Region: region})}
 }
 
@@ -213,7 +213,7 @@
 func TestPaceOfHeartbeats(t *testing.T) {
 	for _, n := range []int{1, 8, 60, 100, 1000, 6800} {
 		perSecond := float64(n) / member.Interval(n).Seconds()
-		qt.Assert(t, perSecond <= platform.HeartbeatWrites, qt.IsTrue, qt.Commentf("%d members: %v", n, perSecond))
+		qt.Assert(t, perSecond <= tablestore.HeartbeatWrites, qt.IsTrue, qt.Commentf("%d members: %v", n, perSecond))
 	}
 	qt.Assert(t, member.Interval(8), qt.Equals, member.HeartbeatInterval)
 }
--- a/member/roster.go
+++ b/member/roster.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Limits of the roster.
@@ -37,7 +37,7 @@
 // sighting is a member's row and when it last changed on this host's clock.
 type sighting struct {
 	member  Member
-	version platform.Version
+	version tablestore.Version
 	changed time.Time
 	// looks counts the reads that found the row lapsed.
 	looks int
@@ -45,7 +45,7 @@
 
 // Refresh reads the rows of all members. A row that can't be decoded is passed
 // over.
-func (r *Roster) Refresh(ctx context.Context, table platform.Table) error {
+func (r *Roster) Refresh(ctx context.Context, table tablestore.Table) error {
 	rows, err := table.List(ctx, Prefix, "", listLimit)
 	if err != nil {
 		return errors.Annotate(err, "members")
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/member"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Prefixes of the keys of owner rows.
@@ -52,11 +52,11 @@
 // held is a claim with the version of its row.
 type held struct {
 	claim   Claim
-	version platform.Version
+	version tablestore.Version
 }
 
 // Refresh reads the owner rows.
-func (o *Owners) Refresh(ctx context.Context, table platform.Table) error {
+func (o *Owners) Refresh(ctx context.Context, table tablestore.Table) error {
 	rows, err := table.List(ctx, "owner/", "", listLimit)
 	if err != nil {
 		return errors.Annotate(err, "owners")
@@ -98,16 +98,16 @@
 }
 
 // Take makes a member the owner under the next epoch. It fails with
-// platform.ErrConflict if another was faster. If the outcome is not known, the
+// tablestore.ErrConflict if another was faster. If the outcome is not known, the
 // next Refresh tells.
-func (o *Owners) Take(ctx context.Context, table platform.Table, key string, m member.Member) (Claim, error) {
+func (o *Owners) Take(ctx context.Context, table tablestore.Table, key string, m member.Member) (Claim, error) {
 	old := o.held(key)
 	claim := Claim{Owner: m.ID, Instance: m.Instance, Epoch: old.claim.Epoch + 1}
 	return claim, o.put(ctx, table, key, claim, old.version)
 }
 
 // Release gives the thing up, so that its next owner need not wait.
-func (o *Owners) Release(ctx context.Context, table platform.Table, key string) error {
+func (o *Owners) Release(ctx context.Context, table tablestore.Table, key string) error {
 	old := o.held(key)
 	return o.put(ctx, table, key, Claim{Epoch: old.claim.Epoch}, old.version)
 }
@@ -118,7 +118,7 @@
 	return o.claims[key]
 }
 
-func (o *Owners) put(ctx context.Context, table platform.Table, key string, c Claim, expected platform.Version) error {
+func (o *Owners) put(ctx context.Context, table tablestore.Table, key string, c Claim, expected tablestore.Version) error {
 	value, err := json.Marshal(c)
 	if err != nil {
 		return errors.Trace(err)
--- a/partition/claim_test.go
+++ b/partition/claim_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 const (
@@ -103,7 +103,7 @@
 }
 
 // attempt reads the row and claims it.
-func attempt(table platform.Table, owners *partition.Owners, name string, id int) []porcupine.Operation {
+func attempt(table tablestore.Table, owners *partition.Owners, name string, id int) []porcupine.Operation {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	start := time.Now()
@@ -118,9 +118,9 @@
 	take := porcupine.Operation{ClientId: id, Input: operation{take: true, epoch: claim.Epoch, owner: name},
 		Output: result{done: err == nil}, Call: start.UnixNano(), Return: time.Now().UnixNano()}
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, tablestore.ErrUnknown):
 		take.Output = result{unknown: true}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		return []porcupine.Operation{read}
 	}
 	return []porcupine.Operation{read, take}
--- a/platformstandin/command.go
+++ b/platformstandin/command.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Command is the command line of the stand-in.
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	var hosts []platform.Host
+	var hosts []tablestore.Host
 	if err := json.Unmarshal(data, &hosts); err != nil {
 		return err
 	}
--- a/platformstandin/direct.go
+++ b/platformstandin/direct.go
@@ -6,22 +6,22 @@
 	"strings"
 	"time"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Direct is the table of a stand-in, met without a network and with the same
 // faults, for tests on a virtual clock.
 type Direct struct{ server *Server }
 
-var _ platform.Table = Direct{}
+var _ tablestore.Table = Direct{}
 
 // Direct returns the table of the stand-in.
 func (s *Server) Direct() Direct { return Direct{server: s} }
 
-// Get implements platform.Table.
-func (d Direct) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements tablestore.Table.
+func (d Direct) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	if err := d.read(ctx); err != nil {
-		return platform.Row{}, err
+		return tablestore.Row{}, err
 	}
 	d.server.mu.Lock()
 	defer d.server.mu.Unlock()
@@ -30,8 +30,8 @@
 	return row, nil
 }
 
-// List implements platform.Table.
-func (d Direct) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements tablestore.Table.
+func (d Direct) List(ctx context.Context, prefix, after string, limit int) ([]tablestore.Row, error) {
 	if err := d.read(ctx); err != nil {
 		return nil, err
 	}
@@ -40,78 +40,78 @@
 	return d.server.list(prefix, after, limit), nil
 }
 
-// Put implements platform.Table.
-func (d Direct) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
-	var version platform.Version
+// Put implements tablestore.Table.
+func (d Direct) Put(ctx context.Context, key string, value []byte, expected tablestore.Version) (tablestore.Version, error) {
+	var version tablestore.Version
 	err := d.write(ctx, key, expected, func() {
 		d.server.last++
 		version = d.server.last
-		d.server.rows[key] = platform.Row{Key: key, Version: version, Value: value}
+		d.server.rows[key] = tablestore.Row{Key: key, Version: version, Value: value}
 	})
 	return version, err
 }
 
-// Delete implements platform.Table.
-func (d Direct) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements tablestore.Table.
+func (d Direct) Delete(ctx context.Context, key string, expected tablestore.Version) error {
 	return d.write(ctx, key, expected, func() { delete(d.server.rows, key) })
 }
 
 // list returns rows in order of key, with s.mu held.
-func (s *Server) list(prefix, after string, limit int) []platform.Row {
-	rows := []platform.Row{}
+func (s *Server) list(prefix, after string, limit int) []tablestore.Row {
+	rows := []tablestore.Row{}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))]
 }
 
 func (d Direct) read(ctx context.Context) error {
 	f := d.server.currentFaults()
 	if f.TableDown || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	if f.TableHangs {
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	d.server.mu.Lock()
 	d.server.reads++
 	d.server.mu.Unlock()
-	return pause(ctx, f.Delay, platform.ErrUnavailable)
+	return pause(ctx, f.Delay, tablestore.ErrUnavailable)
 }
 
 // write lets a conditional write take effect as the faults allow.
-func (d Direct) write(ctx context.Context, key string, expected platform.Version, effect func()) error {
+func (d Direct) write(ctx context.Context, key string, expected tablestore.Version, effect func()) error {
 	f := d.server.currentFaults()
 	if f.TableDown || !f.TableHangs && !d.server.admitWrite() {
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	if f.TableHangs {
 		<-ctx.Done()
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
-	if err := pause(ctx, f.Delay, platform.ErrUnknown); err != nil {
+	if err := pause(ctx, f.Delay, tablestore.ErrUnknown); err != nil {
 		return err
 	}
 	err := d.effect(key, expected, effect)
 	switch {
 	case f.WritesHang:
 		<-ctx.Done()
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	case d.server.takeLoss():
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return err
 }
 
-func (d Direct) effect(key string, expected platform.Version, effect func()) error {
+func (d Direct) effect(key string, expected tablestore.Version, effect func()) error {
 	d.server.mu.Lock()
 	defer d.server.mu.Unlock()
 	if d.server.rows[key].Version != expected {
-		return platform.ErrConflict
+		return tablestore.ErrConflict
 	}
 	effect()
 	return nil
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -9,17 +9,17 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // listing is the list of hosts from a time on.
 type listing struct {
 	from  time.Time
-	hosts []platform.Host
+	hosts []tablestore.Host
 }
 
 // SetHost adds or replaces an entry of the list of hosts.
-func (s *Server) SetHost(h platform.Host) {
+func (s *Server) SetHost(h tablestore.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts[h.ID] = h
@@ -37,11 +37,11 @@
 // show notes the present list of hosts, with s.mu held. Listings that no lag
 // reaches back to are dropped.
 func (s *Server) show() {
-	hosts := []platform.Host{}
+	hosts := []tablestore.Host{}
 	for _, h := range s.hosts {
 		hosts = append(hosts, h)
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b tablestore.Host) int { return strings.Compare(a.ID, b.ID) })
 	s.shown = append(s.shown, listing{from: time.Now(), hosts: hosts})
 	if len(s.shown) > listingsKept {
 		s.shown = slices.Delete(s.shown, 0, len(s.shown)-listingsKept)
@@ -49,10 +49,10 @@
 }
 
 // listed returns the list of hosts as it was before the lag.
-func (s *Server) listed() []platform.Host {
+func (s *Server) listed() []tablestore.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hosts := []platform.Host{}
+	hosts := []tablestore.Host{}
 	for i, l := range s.shown {
 		if i == 0 || time.Since(l.from) >= s.faults.HostsLag {
 			hosts = l.hosts
@@ -64,7 +64,7 @@
 func (s *Server) listHosts(w http.ResponseWriter, r *http.Request) { writeTagged(w, r, s.listed()) }
 
 func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
-	var h platform.Host
+	var h tablestore.Host
 	if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/platformstandin/server.go
+++ b/platformstandin/server.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // listingsKept bounds the past listings that a lag may reach back to.
@@ -48,13 +48,13 @@
 // Server is the stand-in. Use New to make one.
 type Server struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]tablestore.Row
 	objects map[string][]byte
-	hosts   map[string]platform.Host
+	hosts   map[string]tablestore.Host
 	// shown holds the list of hosts as it was at past times, oldest first; the
 	// last is the present one.
 	shown  []listing
-	last   platform.Version
+	last   tablestore.Version
 	faults Faults
 	// second and inSecond count the writes of the current second.
 	second   int64
@@ -74,9 +74,9 @@
 // New returns an empty stand-in.
 func New() *Server {
 	return &Server{
-		rows:    map[string]platform.Row{},
+		rows:    map[string]tablestore.Row{},
 		objects: map[string][]byte{},
-		hosts:   map[string]platform.Host{},
+		hosts:   map[string]tablestore.Host{},
 	}
 }
 
@@ -97,9 +97,9 @@
 		r.Put("/{key}", s.putObject)
 		r.Delete("/{key}", s.deleteObject)
 	})
-	r.Get(platform.HostsPath, s.listHosts)
-	r.Put(platform.HostsPath+"/{id}", s.putHost)
-	r.Delete(platform.HostsPath+"/{id}", s.deleteHost)
+	r.Get(tablestore.HostsPath, s.listHosts)
+	r.Put(tablestore.HostsPath+"/{id}", s.putHost)
+	r.Delete(tablestore.HostsPath+"/{id}", s.deleteHost)
 	r.Put("/standin/faults", s.putFaults)
 	r.Get("/standin/counts", s.getCounts)
 	return r
@@ -124,7 +124,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	tag := platform.FormatTag(platform.Version(xxhash.Sum64(data)))
+	tag := tablestore.FormatTag(tablestore.Version(xxhash.Sum64(data)))
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
--- a/platformstandin/table.go
+++ b/platformstandin/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 func keyOf(r *http.Request) string {
@@ -28,7 +28,7 @@
 		http.Error(w, "no such row", http.StatusNotFound)
 		return
 	}
-	tag := platform.FormatTag(row.Version)
+	tag := tablestore.FormatTag(row.Version)
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
@@ -51,8 +51,8 @@
 		return
 	}
 	s.last++
-	s.rows[key] = platform.Row{Key: key, Version: s.last, Value: value}
-	w.Header().Set("ETag", platform.FormatTag(s.last))
+	s.rows[key] = tablestore.Row{Key: key, Version: s.last, Value: value}
+	w.Header().Set("ETag", tablestore.FormatTag(s.last))
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -75,7 +75,7 @@
 		return !ok
 	}
 	if tag := r.Header.Get("If-Match"); tag != "" {
-		return ok && platform.FormatTag(row.Version) == tag
+		return ok && tablestore.FormatTag(row.Version) == tag
 	}
 	return true
 }
--- a/rackowner/list.go
+++ b/rackowner/list.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
 // list is the platform's list of workers as this host has seen it over time. It
 // covers all racks, since a rack may be claimed after one of its workers left.
 type list struct {
-	hosts   map[string]platform.Host
+	hosts   map[string]tablestore.Host
 	drained map[string]bool
 	// left holds the workers that are listed no more, until their leases have
 	// lapsed.
@@ -21,16 +21,16 @@
 
 // departure is a worker that left the list.
 type departure struct {
-	host platform.Host
+	host tablestore.Host
 	at   time.Time
 }
 
-func (l *list) update(now time.Time, hosts []platform.Host, drained map[string]bool) {
+func (l *list) update(now time.Time, hosts []tablestore.Host, drained map[string]bool) {
 	if l.since.IsZero() {
 		l.since = now
 		l.left = map[string]departure{}
 	}
-	fresh := make(map[string]platform.Host, len(hosts))
+	fresh := make(map[string]tablestore.Host, len(hosts))
 	for _, h := range hosts {
 		fresh[h.ID] = h
 		delete(l.left, h.ID)
@@ -71,7 +71,7 @@
 
 // leaving reports whether a worker of a rack takes nothing new.
 func (l *list) leaving(id, rack string) bool {
-	return !l.has(id, rack) || l.hosts[id].State == platform.Leaving || l.drained[id]
+	return !l.has(id, rack) || l.hosts[id].State == tablestore.Leaving || l.drained[id]
 }
 
 // known reports whether every worker that may run an attempt is on the list or
--- a/rackowner/owner.go
+++ b/rackowner/owner.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
@@ -190,7 +190,7 @@
 }
 
 // List takes the platform's list of workers and those that operators drain.
-func (o *Owner) List(now time.Time, hosts []platform.Host, drained map[string]bool) {
+func (o *Owner) List(now time.Time, hosts []tablestore.Host, drained map[string]bool) {
 	o.list.update(now, hosts, drained)
 	for _, r := range o.racks {
 		o.relist(now, r)
--- a/rackowner/owner_test.go
+++ b/rackowner/owner_test.go
@@ -7,9 +7,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/rackowner"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
@@ -93,7 +93,7 @@
 
 func TestSettleWaitsForWorkerThatLeftTheListBeforeTheClaim(t *testing.T) {
 	c, f := qt.New(t), newFixture(host("w1"), host("w2"))
-	f.List(f.now, []platform.Host{host("w1")}, nil)
+	f.List(f.now, []tablestore.Host{host("w1")}, nil)
 	f.Claim(f.now, "r1", 2)
 	f.adopt("w1", "a")
 	f.command(1, decision.Settle, "x")
@@ -321,7 +321,7 @@
 func TestConfirmOnLeavingWorkerStartsNothing(t *testing.T) {
 	c, f := adopted(t)
 	f.command(1, decision.Hold, "x")
-	f.List(f.now, []platform.Host{host("w1")}, map[string]bool{"w1": true})
+	f.List(f.now, []tablestore.Host{host("w1")}, map[string]bool{"w1": true})
 	c.Assert(f.leaving["w1"], qt.IsTrue)
 	f.command(1, decision.Confirm, "x")
 	c.Assert(f.last().Status, qt.Equals, decision.Refused)
--- a/rackowner/port.go
+++ b/rackowner/port.go
@@ -2,15 +2,15 @@
 
 import (
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
 // Port carries out what an Owner decides.
 type Port interface {
 	// Open begins to talk to a worker under the epoch of a rack.
-	Open(rack string, epoch uint64, host platform.Host)
+	Open(rack string, epoch uint64, host tablestore.Host)
 	// Close ends the talk; nothing more is sent to the worker.
 	Close(rack, worker string)
 	// Send queues a command, or fails at once.
--- a/rackowner/port_test.go
+++ b/rackowner/port_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/vanillaquay/vanillaquay/decision"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/rackowner"
 	"github.com/vanillaquay/vanillaquay/ring"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
@@ -37,12 +37,12 @@
 	return &port{sent: map[string][]worker.Command{}, opened: map[string]uint64{}, leaving: map[string]bool{}}
 }
 
-func (p *port) Open(_ string, epoch uint64, h platform.Host) { p.opened[h.ID] = epoch }
-func (p *port) Close(_, id string)                           { delete(p.opened, id) }
-func (p *port) SetLeaving(_, id string, leaving bool)        { p.leaving[id] = leaving }
-func (p *port) Report(r decision.Report)                     { p.reports = append(p.reports, r) }
-func (p *port) Usage(u decision.Usage)                       { p.usages = append(p.usages, u) }
-func (p *port) Told(d rack.Digest)                           { p.digests = append(p.digests, d) }
+func (p *port) Open(_ string, epoch uint64, h tablestore.Host) { p.opened[h.ID] = epoch }
+func (p *port) Close(_, id string)                             { delete(p.opened, id) }
+func (p *port) SetLeaving(_, id string, leaving bool)          { p.leaving[id] = leaving }
+func (p *port) Report(r decision.Report)                       { p.reports = append(p.reports, r) }
+func (p *port) Usage(u decision.Usage)                         { p.usages = append(p.usages, u) }
+func (p *port) Told(d rack.Digest)                             { p.digests = append(p.digests, d) }
 func (p *port) Send(_, id string, c worker.Command) error {
 	if p.full {
 		return ring.ErrFull
@@ -63,8 +63,8 @@
 	return task.AttemptID{Work: task.Key{Team: "domes", ID: id}, Number: 1}
 }
 
-func host(id string) platform.Host {
-	return platform.Host{ID: id, Rack: "r1", Region: "centro", Zone: "centro-1", Address: "127.0.0.1:1", State: platform.Live}
+func host(id string) tablestore.Host {
+	return tablestore.Host{ID: id, Rack: "r1", Region: "centro", Zone: "centro-1", Address: "127.0.0.1:1", State: tablestore.Live}
 }
 
 func command(epoch uint64, verb decision.Verb, id string) peer.Command {
@@ -81,9 +81,9 @@
 	now    time.Time
 }
 
-func newFixture(hosts ...platform.Host) *fixture {
+func newFixture(hosts ...tablestore.Host) *fixture {
 	if len(hosts) == 0 {
-		hosts = []platform.Host{host("w1")}
+		hosts = []tablestore.Host{host("w1")}
 	}
 	f := &fixture{port: newPort(), claims: &rackowner.Claims{}, now: began}
 	f.Owner = rackowner.New(f.port, f.claims)
@@ -112,7 +112,7 @@
 // it saw some digests.
 func (f *fixture) next(saw ...rack.Digest) *rackowner.Owner {
 	o := rackowner.New(f.port, f.claims)
-	o.List(f.now, []platform.Host{host("w1")}, nil)
+	o.List(f.now, []tablestore.Host{host("w1")}, nil)
 	for _, d := range saw {
 		o.Saw(f.now, d)
 	}
--- a/rackowner/schedule_test.go
+++ b/rackowner/schedule_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/vanillaquay/vanillaquay/decision"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/rackowner"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
@@ -61,7 +61,7 @@
 	epoch    uint64
 	claims   *rackowner.Claims
 	owner    *rackowner.Owner
-	hosts    []platform.Host
+	hosts    []tablestore.Host
 	machines map[string]*machine
 	wires    map[string]*wire
 	// started counts the starts of each attempt, and over holds those that were
@@ -107,10 +107,10 @@
 
 // The methods below implement rackowner.Port.
 
-func (s *schedule) Open(_ string, _ uint64, h platform.Host) { s.wires[h.ID] = &wire{heard: s.now} }
-func (s *schedule) Close(_, id string)                       { delete(s.wires, id) }
-func (s *schedule) SetLeaving(string, string, bool)          {}
-func (s *schedule) Usage(decision.Usage)                     {}
+func (s *schedule) Open(_ string, _ uint64, h tablestore.Host) { s.wires[h.ID] = &wire{heard: s.now} }
+func (s *schedule) Close(_, id string)                         { delete(s.wires, id) }
+func (s *schedule) SetLeaving(string, string, bool)            {}
+func (s *schedule) Usage(decision.Usage)                       {}
 
 func (s *schedule) Send(_, id string, c worker.Command) error {
 	s.wires[id].queue = append(s.wires[id].queue, sentCommand{command: c, at: s.now})
--- a/rackowner/woken_test.go
+++ b/rackowner/woken_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rackowner"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
@@ -26,7 +26,7 @@
 		"the rack has a later owner, which knows of no claim": func(f *fixture) uint64 {
 			f.claims = &rackowner.Claims{}
 			f.Owner = rackowner.New(f.port, f.claims)
-			f.List(f.now, []platform.Host{host("w1")}, nil)
+			f.List(f.now, []tablestore.Host{host("w1")}, nil)
 			f.Claim(f.now, "r1", 2)
 			f.adopt("w1", "a")
 			return 2
--- a/rackowner/worker.go
+++ b/rackowner/worker.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/rack"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
@@ -36,7 +36,7 @@
 }
 
 // open begins to talk to a worker, at a new address if it has moved.
-func (o *Owner) open(r *ownedRack, h platform.Host) {
+func (o *Owner) open(r *ownedRack, h tablestore.Host) {
 	m, known := r.workers[h.ID]
 	if known && m.address == h.Address {
 		return
--- a/report/targets_test.go
+++ b/report/targets_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/load"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/report"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/virtual"
 )
 
@@ -31,7 +31,7 @@
 	overloadKept  = 0.99
 	outageKept    = 0.9
 	outageRefusal = 100 * time.Millisecond
-	writesASecond = platform.WriteBudget
+	writesASecond = tablestore.WriteBudget
 	allAtOnceWait = 150 * time.Second
 	reserveAfter  = 2 * time.Second
 	longestRun    = 50 * time.Second
--- a/scenario/cell_test.go
+++ b/scenario/cell_test.go
@@ -20,7 +20,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/vanillaquay/vanillaquay/loopback"
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
 
@@ -135,15 +135,15 @@
 }
 
 func (c *cell) writeHosts(ts *testscript.TestScript, workers int, regions []string) {
-	var hosts []platform.Host
+	var hosts []tablestore.Host
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i+1)
 		region := regions[i%len(regions)]
 		number := i / len(regions)
 		address := freeAddress(ts)
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, tablestore.Host{
 			ID: name, Region: region, Zone: fmt.Sprintf("%s-%d", region, number/2%2),
-			Rack: fmt.Sprintf("%s-r%d", region, number/2), Address: address, State: platform.Live,
+			Rack: fmt.Sprintf("%s-r%d", region, number/2), Address: address, State: tablestore.Live,
 		})
 		c.addresses[name] = address
 		c.commands[name] = []string{"workerstandin", "--worker", name + "=" + address,
--- a/scenario/promise_test.go
+++ b/scenario/promise_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 )
 
@@ -105,7 +105,7 @@
 // looks at this.
 func hostCommand(ts *testscript.TestScript, _ bool, args []string) {
 	c := cellOf(ts)
-	path := platform.HostsPath + "/" + args[1]
+	path := tablestore.HostsPath + "/" + args[1]
 	if args[0] == "gone" {
 		c.tell(ts, http.MethodDelete, "platform", path, nil)
 		return
@@ -115,10 +115,10 @@
 		return
 	}
 	h := c.host(ts, args[1])
-	h.State = platform.Live
+	h.State = tablestore.Live
 	delete(c.leaving, h.ID)
 	if args[0] == "leaving" {
-		h.State = platform.Leaving
+		h.State = tablestore.Leaving
 		c.leaving[h.ID] = time.Now()
 	}
 	data, err := json.Marshal(h)
@@ -127,10 +127,10 @@
 }
 
 // host returns a worker as the list of the cell's start has it.
-func (c *cell) host(ts *testscript.TestScript, name string) platform.Host {
+func (c *cell) host(ts *testscript.TestScript, name string) tablestore.Host {
 	data, err := os.ReadFile(filepath.Join(c.dir, "hosts.json"))
 	ts.Check(err)
-	var hosts []platform.Host
+	var hosts []tablestore.Host
 	ts.Check(json.Unmarshal(data, &hosts))
 	for _, h := range hosts {
 		if h.ID == name {
@@ -138,7 +138,7 @@
 		}
 	}
 	ts.Fatalf("no worker %q", name)
-	return platform.Host{}
+	return tablestore.Host{}
 }
 
 // checkLeaving finds starts on workers that were leaving.
--- a/slope/message.go
+++ b/slope/message.go
@@ -13,10 +13,10 @@
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/quantity"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
@@ -154,10 +154,10 @@
 
 func hostBytes() (Slope, error) {
 	return bytesAt("list of workers (JSON)", "worker", []int{50, 500, 5000}, json.Marshal, func(n int) any {
-		var hosts []platform.Host
+		var hosts []tablestore.Host
 		for i := range n {
-			hosts = append(hosts, platform.Host{ID: fmt.Sprintf("worker-%05d", i), Rack: fmt.Sprintf("rack-%04d", i/8),
-				Zone: "zone-00", Region: "region-0", Address: "10.20.30.40:7100", State: platform.Live})
+			hosts = append(hosts, tablestore.Host{ID: fmt.Sprintf("worker-%05d", i), Rack: fmt.Sprintf("rack-%04d", i/8),
+				Zone: "zone-00", Region: "region-0", Address: "10.20.30.40:7100", State: tablestore.Live})
 		}
 		return hosts
 	})
--- a/platform/budget.go
+++ b/tablestore/budget.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 // The writes per second that all entry hosts together may send to the table,
 // by purpose. Each host takes a share that it can work out by itself, so that
--- a/platform/client_test.go
+++ b/tablestore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -10,17 +10,17 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/proxytest"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // start serves a stand-in and returns it with a client that gives up soon.
-func start(t *testing.T) (*platformstandin.Server, *platform.Client) {
+func start(t *testing.T) (*platformstandin.Server, *tablestore.Client) {
 	s := platformstandin.New()
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
-	client := platform.NewClient(server.URL, 400*time.Millisecond)
+	client := tablestore.NewClient(server.URL, 400*time.Millisecond)
 	t.Cleanup(client.Close)
 	return s, client
 }
@@ -36,10 +36,10 @@
 		writes  int64
 	}{
 		{"Healthy", platformstandin.Faults{}, nil, true, 1},
-		{"Down", platformstandin.Faults{TableDown: true}, platform.ErrUnavailable, false, 1},
-		{"Hangs", platformstandin.Faults{TableHangs: true}, platform.ErrUnknown, false, 1},
-		{"WritesHang", platformstandin.Faults{WritesHang: true}, platform.ErrUnknown, true, 1},
-		{"LostAnswer", platformstandin.Faults{LoseAnswers: 1}, platform.ErrUnknown, true, 1},
+		{"Down", platformstandin.Faults{TableDown: true}, tablestore.ErrUnavailable, false, 1},
+		{"Hangs", platformstandin.Faults{TableHangs: true}, tablestore.ErrUnknown, false, 1},
+		{"WritesHang", platformstandin.Faults{WritesHang: true}, tablestore.ErrUnknown, true, 1},
+		{"LostAnswer", platformstandin.Faults{LoseAnswers: 1}, tablestore.ErrUnknown, true, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -63,9 +63,9 @@
 	c.Assert(err, qt.IsNil)
 	address := l.Addr().String()
 	c.Assert(l.Close(), qt.IsNil)
-	client := platform.NewClient("http://"+address, time.Second)
+	client := tablestore.NewClient("http://"+address, time.Second)
 	_, err = client.Put(context.Background(), "a", nil, 0)
-	c.Assert(errors.Is(err, platform.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, tablestore.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
 }
 
 // TestWriteLimit checks that a write over the limit has no effect for certain.
@@ -76,7 +76,7 @@
 	refused := 0
 	for _, key := range []string{"a", "b", "c", "d"} {
 		_, err := client.Put(context.Background(), key, nil, 0)
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, tablestore.ErrUnavailable) {
 			refused++
 		}
 	}
@@ -95,7 +95,7 @@
 	defer web.Close()
 	between := proxytest.New(t, web.Listener.Addr().String())
 	defer between.Close()
-	client := platform.NewClient("http://"+between.Address(), 2*time.Second)
+	client := tablestore.NewClient("http://"+between.Address(), 2*time.Second)
 	defer client.Close()
 	_, err := client.Put(context.Background(), "a", []byte("x"), 0)
 	c.Assert(err, qt.IsNil)
--- a/platform/doc.go
+++ b/tablestore/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the platform's services: the transactional table,
+// Package tablestore speaks to the platform's services: the transactional table,
 // the object store and the lagging list of hosts. Everything that is agreed or
 // kept goes through here.
 //
@@ -6,4 +6,4 @@
 // a conditional write uses If-Match and If-None-Match (RFC 9110, section 13.1).
 // A write whose answer was lost is reported as ErrUnknown; the caller settles it
 // by reading the key.
-package platform
+package tablestore
--- a/platform/fuzz_test.go
+++ b/tablestore/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // FuzzAnswers lets the platform answer each call with the same status, entity tag
@@ -33,7 +33,7 @@
 		_, _ = w.Write(body)
 	}))
 	f.Cleanup(server.Close)
-	client := platform.NewClient(server.URL, platform.DefaultTimeout)
+	client := tablestore.NewClient(server.URL, tablestore.DefaultTimeout)
 	f.Cleanup(client.Close)
 	f.Fuzz(func(t *testing.T, s int, e string, b []byte) {
 		// Other statuses are not final, or the server can't send them.
@@ -44,7 +44,7 @@
 	})
 }
 
-func checkReads(ctx context.Context, t *testing.T, client *platform.Client) {
+func checkReads(ctx context.Context, t *testing.T, client *tablestore.Client) {
 	row, err := client.Get(ctx, "a")
 	if err == nil && row.Key != "a" {
 		t.Errorf("Get: row of key %q", row.Key)
@@ -53,17 +53,17 @@
 	_, workersErr := client.Workers(ctx)
 	_, readErr := client.Read(ctx, "a")
 	for _, err := range []error{err, listErr, workersErr, readErr} {
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, errors.NotFound) {
+		if err != nil && !errors.Is(err, tablestore.ErrUnavailable) && !errors.Is(err, errors.NotFound) {
 			t.Errorf("read: %v is no error of the package", err)
 		}
 	}
 }
 
-func checkWrites(ctx context.Context, t *testing.T, client *platform.Client, status int) {
+func checkWrites(ctx context.Context, t *testing.T, client *tablestore.Client, status int) {
 	_, err := client.Put(ctx, "a", []byte("x"), 1)
 	for _, err := range []error{err, client.Delete(ctx, "a", 1), client.Write(ctx, "a", []byte("x"))} {
-		certain := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
-		if err != nil && !certain && !errors.Is(err, platform.ErrUnknown) {
+		certain := errors.Is(err, tablestore.ErrConflict) || errors.Is(err, tablestore.ErrUnavailable)
+		if err != nil && !certain && !errors.Is(err, tablestore.ErrUnknown) {
 			t.Errorf("write, status %d: %v is no error of the package", status, err)
 		}
 		if certain && status < 300 {
--- a/platform/kept.go
+++ b/tablestore/kept.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"net/http"
--- a/platform/kept_test.go
+++ b/tablestore/kept_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // TestWhatHasNotChangedIsNotSentAgain reads lists and a row of the size of a cell
@@ -18,11 +18,11 @@
 	server := platformstandin.New()
 	web := httptest.NewServer(server.Handler())
 	defer web.Close()
-	client := platform.NewClient(web.URL, 0)
+	client := tablestore.NewClient(web.URL, 0)
 	defer client.Close()
 	ctx := context.Background()
 	for i := range 50 {
-		server.SetHost(platform.Host{ID: fmt.Sprintf("w%02d", i), Rack: "r1", Zone: "santiago", Region: "centro", Address: "127.0.0.1:1"})
+		server.SetHost(tablestore.Host{ID: fmt.Sprintf("w%02d", i), Rack: "r1", Zone: "santiago", Region: "centro", Address: "127.0.0.1:1"})
 		_, err := client.Put(ctx, fmt.Sprintf("owner/rack/r%02d", i), []byte(`{"Owner":"e1","Instance":"a","Epoch":1}`), 0)
 		qt.Assert(t, err, qt.IsNil)
 	}
@@ -51,8 +51,8 @@
 	version, err = client.Put(ctx, "configuration", large, version)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, look(), qt.Equals, int64(len(large)))
-	server.SetHost(platform.Host{ID: "w07", State: platform.Leaving})
+	server.SetHost(tablestore.Host{ID: "w07", State: tablestore.Leaving})
 	hosts, err := client.Workers(ctx)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, hosts[7].State, qt.Equals, platform.Leaving)
+	qt.Assert(t, hosts[7].State, qt.Equals, tablestore.Leaving)
 }
--- a/virtual/options.go
+++ b/virtual/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/worker"
 )
 
@@ -36,7 +36,7 @@
 	DefaultLinkDelay     = 20 * time.Millisecond
 	DefaultLocalDelay    = time.Millisecond
 	DefaultWriteDelay    = 5 * time.Millisecond
-	DefaultWriteLimit    = platform.JournalWrites
+	DefaultWriteLimit    = tablestore.JournalWrites
 	DefaultDigestPause   = 20 * time.Millisecond
 	DefaultFarPause      = time.Second
 	DefaultUsageInterval = 10 * time.Second
--- a/journal/fuzz_test.go
+++ b/wal/fuzz_test.go
@@ -1,13 +1,13 @@
-package journal_test
+package wal_test
 
 import (
 	"context"
 	"testing"
 
 	"github.com/vanillaquay/vanillaquay/codec"
-	"github.com/vanillaquay/vanillaquay/journal"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
+	"github.com/vanillaquay/vanillaquay/wal"
 )
 
 // FuzzOpen opens journals whose rows and snapshot are damaged: that is an error,
@@ -28,10 +28,10 @@
 	f.Add("journal/p/x", row, []byte(`{"Object":"","Covers":0}`), object)
 	f.Fuzz(func(t *testing.T, key string, row, pointer, object []byte) {
 		s := newStore()
-		s.rows[key] = platform.Row{Key: key, Version: 1, Value: row}
-		s.rows["snapshot/p"] = platform.Row{Key: "snapshot/p", Version: 2, Value: pointer}
+		s.rows[key] = tablestore.Row{Key: key, Version: 1, Value: row}
+		s.rows["snapshot/p"] = tablestore.Row{Key: "snapshot/p", Version: 2, Value: pointer}
 		s.objects["o"] = object
-		_, entries, err := journal.Open(context.Background(), journal.Store{Table: s, Objects: s}, "p", "e2", 2)
+		_, entries, err := wal.Open(context.Background(), wal.Store{Table: s, Objects: s}, "p", "e2", 2)
 		if err != nil {
 			return
 		}
--- a/journal/item.go
+++ b/wal/item.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"github.com/vanillaquay/vanillaquay/record"
--- a/journal/journal.go
+++ b/wal/journal.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
@@ -12,8 +12,8 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/codec"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
 
@@ -52,8 +52,8 @@
 
 // Store is the part of the platform that a journal is kept in.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   tablestore.Table
+	Objects tablestore.Objects
 }
 
 // Journal appends to the rows of one partition. Use Open to make one. Append is
@@ -68,7 +68,7 @@
 	// pointer is the row that names the newest snapshot, and pointerVersion
 	// that row's version. They belong to the goroutine that calls Cut.
 	pointer        pointer
-	pointerVersion platform.Version
+	pointerVersion tablestore.Version
 	// replaced is the object of the snapshot before, until it is removed.
 	replaced string
 	// took is how long the last call that succeeded lasted.
@@ -171,7 +171,7 @@
 }
 
 // Append makes entries durable in one row. It returns once the outcome is
-// certain: nil, ErrFenced, or platform.ErrUnavailable if nothing was written and
+// certain: nil, ErrFenced, or tablestore.ErrUnavailable if nothing was written and
 // nothing will be. While a write may have taken effect, the row is read, and if
 // it is absent the same value is written again. ErrInDoubt is returned only if
 // the context ends before that is settled, and the journal must not be used any
@@ -183,7 +183,7 @@
 	}
 	sent := time.Now()
 	_, err = j.store.Table.Put(ctx, j.key(j.next), value, 0)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, tablestore.ErrUnavailable) {
 		return err
 	}
 	for pause := minPause; err != nil; pause = min(2*pause, maxPause) {
--- a/journal/owner_test.go
+++ b/wal/owner_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/time/rate"
 
-	"github.com/vanillaquay/vanillaquay/journal"
 	"github.com/vanillaquay/vanillaquay/record"
 	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/wal"
 )
 
 // payload makes a snapshot due after a few rows.
@@ -42,7 +42,7 @@
 // up: the list of those that are durable.
 type owner struct {
 	name   string
-	duty   *journal.Duty
+	duty   *wal.Duty
 	done   chan struct{}
 	cancel context.CancelFunc
 
@@ -64,7 +64,7 @@
 		items: map[uint64]record.Entry{}, outcomes: map[uint64]outcome{},
 	}
 	pace := rate.NewLimiter(rate.Limit(50), 4)
-	o.duty = journal.NewDuty(journal.Store{Table: s, Objects: s}, "centro-000", o.name, epoch, pace, o)
+	o.duty = wal.NewDuty(wal.Store{Table: s, Objects: s}, "centro-000", o.name, epoch, pace, o)
 	ctx, cancel := context.WithCancel(context.Background())
 	o.cancel = cancel
 	go func() {
@@ -103,7 +103,7 @@
 	e := entry(verb, fmt.Sprintf("%s-%d", o.name, token))
 	o.items[token] = e
 	o.mu.Unlock()
-	err := o.duty.Put(journal.Item{Token: token, Entry: e})
+	err := o.duty.Put(wal.Item{Token: token, Entry: e})
 	if err == nil {
 		return true
 	}
@@ -159,7 +159,7 @@
 	defer o.mu.Unlock()
 	entries := append([]record.Entry(nil), o.entries...)
 	if o.large {
-		body := make([]byte, journal.MaxPages*journal.PageBytes)
+		body := make([]byte, wal.MaxPages*wal.PageBytes)
 		entries = append(entries, record.Entry{Verb: record.Final, Answer: &task.Answer{Team: "domes", ID: "large", Bodies: [][]byte{body}}})
 	}
 	go o.duty.Snapshot(covers, entries)
--- a/journal/pages.go
+++ b/wal/pages.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // Bounds of a snapshot in rows.
@@ -42,7 +42,7 @@
 			return err
 		}
 		_, err := j.store.Table.Put(ctx, pageKey(name, i), page, 0)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, tablestore.ErrConflict) {
 			return errors.Annotate(err, "page of a snapshot")
 		}
 	}
@@ -93,11 +93,11 @@
 }
 
 // removeRow removes one row at the pace of the journal.
-func (j *Journal) removeRow(ctx context.Context, row platform.Row, wait func(context.Context) error) error {
+func (j *Journal) removeRow(ctx context.Context, row tablestore.Row, wait func(context.Context) error) error {
 	if err := wait(ctx); err != nil {
 		return err
 	}
-	if err := j.store.Table.Delete(ctx, row.Key, row.Version); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err := j.store.Table.Delete(ctx, row.Key, row.Version); err != nil && !errors.Is(err, tablestore.ErrConflict) {
 		return errors.Annotatef(err, "row %s", row.Key)
 	}
 	return nil
--- a/journal/pages_test.go
+++ b/wal/pages_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/vanillaquay/vanillaquay/journal"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/wal"
 )
 
 // TestOwnerThatWakesUpLeavesTheNextSnapshot pauses an owner between its snapshot and
@@ -17,10 +17,10 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	s := newStore()
-	store := journal.Store{Table: s, Objects: s}
+	store := wal.Store{Table: s, Objects: s}
 	noWait := func(context.Context) error { return nil }
 	entries := []record.Entry{entry(record.Accept, "a"), entry(record.Accept, "b")}
-	first, _, err := journal.Open(ctx, store, "centro-000", "e1", 1)
+	first, _, err := wal.Open(ctx, store, "centro-000", "e1", 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(first.Append(ctx, entries[:1]), qt.IsNil)
 	calls := 0
@@ -29,7 +29,7 @@
 		if calls++; calls != 2 {
 			return nil
 		}
-		next, _, err := journal.Open(ctx, store, "centro-000", "e2", 2)
+		next, _, err := wal.Open(ctx, store, "centro-000", "e2", 2)
 		c.Assert(err, qt.IsNil)
 		c.Assert(next.Append(ctx, entries[1:]), qt.IsNil)
 		_, err = next.Cut(ctx, 4, entries, noWait)
@@ -38,7 +38,7 @@
 	_, err = first.Cut(ctx, 2, entries[:1], paused)
 	c.Assert(err, qt.IsNil)
 	c.Assert(calls >= 2, qt.IsTrue)
-	_, found, err := journal.Open(ctx, store, "centro-000", "e3", 3)
+	_, found, err := wal.Open(ctx, store, "centro-000", "e3", 3)
 	c.Assert(err, qt.IsNil)
 	c.Assert(found, qt.DeepEquals, entries)
 }
--- a/journal/recovery_test.go
+++ b/wal/recovery_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"context"
@@ -10,11 +10,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/decision"
-	"github.com/vanillaquay/vanillaquay/journal"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/wal"
 )
 
 const (
@@ -34,10 +34,10 @@
 	ctx := context.Background()
 	server := httptest.NewServer(platformstandin.New().Handler())
 	defer server.Close()
-	client := platform.NewClient(server.URL, 0)
+	client := tablestore.NewClient(server.URL, 0)
 	defer client.Close()
-	store := journal.Store{Table: client, Objects: client}
-	log, _, err := journal.Open(ctx, store, "centro-000", "e1", 1)
+	store := wal.Store{Table: client, Objects: client}
+	log, _, err := wal.Open(ctx, store, "centro-000", "e1", 1)
 	c.Assert(err, qt.IsNil)
 	entries := begunTasks(liveTasks)
 	half := len(entries) / 2
@@ -46,14 +46,14 @@
 	size, err := log.Cut(ctx, 2, entries[:half], func(context.Context) error { paced++; return nil })
 	c.Assert(err, qt.IsNil)
 	// One row was removed, besides the fence that stays.
-	c.Assert(paced <= int64(size)/journal.PageBytes+2, qt.IsTrue, qt.Commentf("%d writes for %d bytes", paced, size))
+	c.Assert(paced <= int64(size)/wal.PageBytes+2, qt.IsTrue, qt.Commentf("%d writes for %d bytes", paced, size))
 	for i := range rowsBehind {
 		from, to := half+i*half/rowsBehind, half+(i+1)*half/rowsBehind
 		c.Assert(log.Append(ctx, entries[from:to]), qt.IsNil)
 	}
 
 	before, start := client.Reads(), time.Now()
-	_, found, err := journal.Open(ctx, store, "centro-000", "e2", 2)
+	_, found, err := wal.Open(ctx, store, "centro-000", "e2", 2)
 	c.Assert(err, qt.IsNil)
 	read := time.Since(start)
 	core := decision.New(decision.Options{})
--- a/journal/refusal_test.go
+++ b/wal/refusal_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"testing"
--- a/journal/snapshot.go
+++ b/wal/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/codec"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // fencesKept is the number of fencing rows that cuts leave in the table. An
@@ -165,7 +165,7 @@
 		return errors.Trace(err)
 	}
 	version, err := j.store.Table.Put(ctx, j.pointerKey(), value, j.pointerVersion)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, tablestore.ErrConflict) {
 		return j.pointOver(ctx, p, value)
 	}
 	if err != nil {
@@ -203,7 +203,7 @@
 }
 
 // pointed notes that the pointer row names a new snapshot.
-func (j *Journal) pointed(p pointer, version platform.Version) {
+func (j *Journal) pointed(p pointer, version tablestore.Version) {
 	if j.pointer.Pages == 0 {
 		j.replaced = j.pointer.Object
 	}
--- a/journal/store_test.go
+++ b/wal/store_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package wal_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 )
 
 // fault is how the store treats the next calls.
@@ -40,9 +40,9 @@
 // package synctest, in which time passes at once.
 type store struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]tablestore.Row
 	objects map[string][]byte
-	last    platform.Version
+	last    tablestore.Version
 	table   fault
 	// objectsDown makes the object store refuse every call.
 	objectsDown bool
@@ -54,7 +54,7 @@
 }
 
 func newStore() *store {
-	return &store{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &store{rows: map[string]tablestore.Row{}, objects: map[string][]byte{}}
 }
 
 func (s *store) setFault(f fault) {
@@ -103,19 +103,19 @@
 	s.mu.Unlock()
 	switch s.current() {
 	case refuses:
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	case drops, delays:
 		pause(ctx, callTimeout)
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	case slow:
 		pause(ctx, slowDelay)
 	}
 	return ctx.Err()
 }
 
-func (s *store) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s *store) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	if err := s.read(ctx); err != nil {
-		return platform.Row{}, err
+		return tablestore.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,37 +124,37 @@
 	return row, nil
 }
 
-func (s *store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *store) List(ctx context.Context, prefix, after string, limit int) ([]tablestore.Row, error) {
 	if err := s.read(ctx); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var rows []platform.Row
+	var rows []tablestore.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (s *store) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
-	return s.write(ctx, func() (platform.Version, error) {
+func (s *store) Put(ctx context.Context, key string, value []byte, expected tablestore.Version) (tablestore.Version, error) {
+	return s.write(ctx, func() (tablestore.Version, error) {
 		if s.rows[key].Version != expected {
-			return 0, platform.ErrConflict
+			return 0, tablestore.ErrConflict
 		}
 		s.last++
-		s.rows[key] = platform.Row{Key: key, Version: s.last, Value: value}
+		s.rows[key] = tablestore.Row{Key: key, Version: s.last, Value: value}
 		return s.last, nil
 	})
 }
 
-func (s *store) Delete(ctx context.Context, key string, expected platform.Version) error {
-	_, err := s.write(ctx, func() (platform.Version, error) {
+func (s *store) Delete(ctx context.Context, key string, expected tablestore.Version) error {
+	_, err := s.write(ctx, func() (tablestore.Version, error) {
 		if s.rows[key].Version != expected {
-			return 0, platform.ErrConflict
+			return 0, tablestore.ErrConflict
 		}
 		delete(s.rows, key)
 		return 0, nil
@@ -162,26 +162,26 @@
 	return err
 }
 
-func (s *store) write(ctx context.Context, effect func() (platform.Version, error)) (platform.Version, error) {
+func (s *store) write(ctx context.Context, effect func() (tablestore.Version, error)) (tablestore.Version, error) {
 	s.mu.Lock()
 	s.writes++
 	s.mu.Unlock()
-	locked := func() (platform.Version, error) {
+	locked := func() (tablestore.Version, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return effect()
 	}
 	switch s.current() {
 	case refuses:
-		return 0, platform.ErrUnavailable
+		return 0, tablestore.ErrUnavailable
 	case loses:
 		if _, err := locked(); err != nil {
 			return 0, err
 		}
-		return 0, platform.ErrUnknown
+		return 0, tablestore.ErrUnknown
 	case drops:
 		pause(ctx, callTimeout)
-		return 0, platform.ErrUnknown
+		return 0, tablestore.ErrUnknown
 	case delays:
 		s.wait.Add(1)
 		go func() {
@@ -191,11 +191,11 @@
 			_, _ = locked()
 		}()
 		pause(ctx, callTimeout)
-		return 0, platform.ErrUnknown
+		return 0, tablestore.ErrUnknown
 	case slow:
 		pause(ctx, slowDelay)
 		if ctx.Err() != nil {
-			return 0, platform.ErrUnknown
+			return 0, tablestore.ErrUnknown
 		}
 	}
 	return locked()
@@ -206,7 +206,7 @@
 	defer s.mu.Unlock()
 	s.reads++
 	if s.objectsDown {
-		return nil, platform.ErrUnavailable
+		return nil, tablestore.ErrUnavailable
 	}
 	data, ok := s.objects[key]
 	if !ok {
@@ -219,7 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objectsDown {
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	s.objects[key] = data
 	return nil
@@ -229,7 +229,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objectsDown {
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	delete(s.objects, key)
 	return nil
--- a/journal/write.go
+++ b/wal/write.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/chart"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/record"
+	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
 
@@ -82,7 +82,7 @@
 		d.step(event)
 		d.grow(items)
 		return true
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		return d.failed(ctx, items)
 	case errors.Is(err, ErrFenced):
 		d.step("Fenced")
