--- a/front/tenure.go
+++ b/front/tenure.go
@@ -45,7 +45,6 @@
 
 // watchLease follows the renewals of the owner.
 func (h *Host) watchLease(ctx context.Context) {
-	var asked time.Duration
 	take := func(r ledger.Row) {
 		var l ledger.Lease
 		if err := codec.Unmarshal(r.Value, &l); err != nil {
@@ -55,9 +54,8 @@
 		h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher { return w.WithLease(now, l.Owner, l.Fence) })
 	}
 	ledger.Watch{
-		Store: timed{h.store, func(d time.Duration) {
-			asked = d
-			if asked < nearBound {
+		Store: timed{h.store, func(took time.Duration) {
+			if took < nearBound {
 				h.mu.Lock()
 				h.near = true
 				h.mu.Unlock()
@@ -177,11 +175,15 @@
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
 		return w.WithLease(now, h.settings.Host, l.Fence())
 	})
+	// The watch may have told of the tenure before.
+	h.connect()
+	h.desk.OwnerChanged()
 	h.tell()
 	err = o.Run(ctx, catalogue)
 	h.mu.Lock()
 	h.owner = nil
 	h.mu.Unlock()
+	h.connect()
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
 		if w.Fence == l.Fence() {
 			w.Owner = ""
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
@@ -40,6 +41,9 @@
 	// maxBytes bounds the values of a transaction; the store takes 1 MB in base64.
 	maxBytes = 600 << 10
 	pageSize = 500
+	// renewal is the least age of a lease that is written again. Members follow
+	// the lease, so that each renewal costs them a call.
+	renewal = 400 * time.Millisecond
 )
 
 // head is the row that each transaction of an owner rewrites.
@@ -91,6 +95,8 @@
 	fence   int64
 	count   int64
 	renewal int64
+	// renewed is when the lease was last written.
+	renewed time.Duration
 }
 
 // Take makes the named member the owner of a cell.
@@ -196,21 +202,22 @@
 
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
 	l.count++
-	l.renewal++
 	number := l.incarnation + "." + strconv.FormatInt(l.count, 10)
 	headValue, err := codec.Marshal(head{Owner: owner, Transaction: number})
 	if err != nil {
 		return Transaction{}, "", errors.Trace(err)
 	}
-	leaseValue, err := codec.Marshal(Lease{Owner: owner, Fence: l.fence, Renewal: l.renewal})
-	if err != nil {
-		return Transaction{}, "", errors.Trace(err)
-	}
 	t := Transaction{
 		Expected: []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Version: l.version}},
 		Writes:   []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Value: headValue}},
 	}
-	if l.fence != 0 {
+	if now := clock.Now(); l.fence != 0 && (owner == "" || now-l.renewed >= renewal || l.renewed == 0) {
+		l.renewed = now
+		l.renewal++
+		leaseValue, err := codec.Marshal(Lease{Owner: owner, Fence: l.fence, Renewal: l.renewal})
+		if err != nil {
+			return Transaction{}, "", errors.Trace(err)
+		}
 		t.Writes = append(t.Writes, Row{Table: LeaseTable, Part: l.cell, Key: LeaseKey, Value: leaseValue})
 	}
 	for _, c := range changes {
