cell: a step comes to workers that its first question did not name

Ruled out: room and rests of workers, since most were free. Gangs ask again only once their plan has room.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -22,8 +22,10 @@
 		}
 		number = max(number, t.run)
 	}
-	plan := c.planGang(now, s, queue, held)
+	list := c.candidates(now, s, queue)
+	plan := planGang(s, ticketed(now, s, queue, list), held)
 	if plan == nil {
+		c.askForGang(now, s, queue, list, held)
 		return false
 	}
 	s.blocked = 0
@@ -35,10 +37,8 @@
 }
 
 // planGang returns a worker for each task, or nil if not all fit. A gang that
-// should share a rack is planned in the rack that leaves least room, if one can
-// take it.
-func (c *Cell) planGang(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) []*worker {
-	list := c.candidates(now, s, queue)
+// should share a rack is planned in one rack, if one can take it.
+func planGang(s *step, list []*worker, held map[string]task.Size) []*worker {
 	if s.SameRack {
 		for _, rack := range racksOf(list) {
 			inRack := slices.DeleteFunc(slices.Clone(list), func(w *worker) bool { return w.Rack() != rack })
@@ -53,6 +53,38 @@
 	return nil
 }
 
+// askForGang asks for the tickets that a gang lacks, once it would have room with
+// them.
+func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, good []*worker, held map[string]task.Size) {
+	if queue.Advice == nil {
+		return
+	}
+	if plan := planGang(s, good, held); plan != nil {
+		c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
+		return
+	}
+	if unasked := c.unasked(now, s); len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
+		c.ask(now, s, *queue.Advice, append(unasked, good...))
+	}
+}
+
+// spareFor returns the workers of a plan, and others with room for a task, so that
+// a worker that fails meanwhile does not cost another question.
+func spareFor(s *step, plan, good []*worker, held map[string]task.Size) []*worker {
+	var named []*worker
+	for _, w := range plan {
+		if !slices.Contains(named, w) {
+			named = append(named, w)
+		}
+	}
+	for _, w := range good {
+		if !slices.Contains(named, w) && s.Room().Fits(w.free().Minus(held[w.ID])) {
+			named = append(named, w)
+		}
+	}
+	return named
+}
+
 // fill returns workers for as many tasks of a gang as fit.
 func fill(s *step, list []*worker, held map[string]task.Size) []*worker {
 	extra := map[string]taken{}
--- a/cell/place.go
+++ b/cell/place.go
@@ -20,21 +20,26 @@
 	return s.Requires == "" || slices.Contains(w.Labels, s.Requires)
 }
 
-// candidates returns the workers that may get a task of a step now.
+// candidates returns the workers that may run a step, whether there is a ticket
+// for them or not.
 func (c *Cell) candidates(now time.Duration, s *step, queue workload.Queue) []*worker {
 	var list []*worker
 	for _, w := range c.order {
-		if !c.serves(s, w) || !w.usable(now) {
-			continue
-		}
-		if queue.Advice != nil && !s.tickets.valid(now, w) {
-			continue
+		if c.serves(s, w) && w.usable(now) && (queue.Advice == nil || s.tickets.isGood(w)) {
+			list = append(list, w)
 		}
-		list = append(list, w)
 	}
 	return list
 }
 
+// ticketed returns those of a list for which there is a ticket, if one is needed.
+func ticketed(now time.Duration, s *step, queue workload.Queue, list []*worker) []*worker {
+	if queue.Advice == nil {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(w *worker) bool { return !s.tickets.valid(now, w) })
+}
+
 // tasksOn counts the runs of a step on a worker.
 func (s *step) tasksOn(w *worker) int {
 	n := 0
@@ -46,21 +51,38 @@
 	return n
 }
 
-// placeTasks starts the tasks of a step that wait, each on the best worker.
+// placeTasks starts the tasks of a step that wait, each on the best worker. If
+// tasks are left, it asks for tickets of workers that have room.
 func (c *Cell) placeTasks(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
 	list := c.candidates(now, s, queue)
+	allowed := ticketed(now, s, queue, list)
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
 		}
-		w := best(s, list, held, nil)
+		w := best(s, allowed, held, nil)
 		if w == nil {
+			c.askMore(now, s, queue, slices.DeleteFunc(slices.Clone(list), func(w *worker) bool {
+				return s.tickets.valid(now, w) || best(s, []*worker{w}, held, nil) == nil
+			}))
 			return
 		}
 		c.place(now, s, t, w, t.run+1)
 	}
 }
 
+// askMore asks for new tickets of good workers, or else about workers that were
+// never named and have room.
+func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
+	if queue.Advice == nil {
+		return
+	}
+	if len(good) == 0 {
+		good = slices.DeleteFunc(c.unasked(now, s), func(w *worker) bool { return !s.Room().Fits(w.free()) })
+	}
+	c.ask(now, s, *queue.Advice, good)
+}
+
 // best returns the worker on which a task of the step leaves least room, of those
 // near its data if it fits there. extra is room that is taken besides.
 func best(s *step, list []*worker, held map[string]task.Size, extra map[string]taken) *worker {
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/task"
-	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 // lateFactor times its objective is when a job earns nothing more.
@@ -85,48 +84,19 @@
 		if !ok {
 			continue
 		}
-		if queue.Advice != nil && !c.advised(now, s, *queue.Advice) {
+		if queue.Advice != nil && !s.tickets.known() {
+			c.askFirst(now, s, *queue.Advice)
 			continue
 		}
-		if s.Gang {
-			if !c.placeGang(now, s, queue, held) && gangsHeld < maxGangsHeld {
-				gangsHeld++
-				c.holdRoom(now, s, queue, held)
-			}
+		if !s.Gang {
+			c.placeTasks(now, s, queue, held)
 			continue
 		}
-		c.placeTasks(now, s, queue, held)
-	}
-}
-
-// advised reports whether there is a ticket for some worker, and asks for those
-// that are missing.
-func (c *Cell) advised(now time.Duration, s *step, advice workload.Advice) bool {
-	usable, fitting := false, false
-	for _, w := range c.order {
-		if !s.tickets.valid(now, w) {
-			continue
-		}
-		usable = true
-		if w.usable(now) && s.Room().Fits(w.free()) {
-			fitting = true
-			break
+		if !c.placeGang(now, s, queue, held) && gangsHeld < maxGangsHeld {
+			gangsHeld++
+			c.holdRoom(now, s, queue, held)
 		}
 	}
-	if !usable || !fitting && s.tickets.goodHasRoom(now, c, s) {
-		c.ask(now, s, advice)
-	}
-	return usable
-}
-
-// goodHasRoom reports whether a good worker without a valid ticket has room.
-func (t *tickets) goodHasRoom(now time.Duration, c *Cell, s *step) bool {
-	for id := range t.good {
-		if w := c.workers[id]; w != nil && !t.valid(now, w) && w.usable(now) && s.Room().Fits(w.free()) {
-			return true
-		}
-	}
-	return false
 }
 
 // waiting returns the steps with tasks that wait, in the order of service.
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,14 +47,6 @@
 	return ok && held.value != "" && held.life == w.Life && now+ticketMargin < held.until
 }
 
-// mayRun reports whether a worker is known not to be allowed.
-func (t *tickets) mayRun(id string) bool {
-	if _, ok := t.good[id]; ok {
-		return true
-	}
-	return !t.asked[id]
-}
-
 // drop forgets a ticket that was turned down.
 func (t *tickets) drop(worker string) {
 	if held, ok := t.good[worker]; ok {
@@ -62,52 +55,53 @@
 	}
 }
 
-// ask hands out a question about a step unless one is under way.
-func (c *Cell) ask(now time.Duration, s *step, advice workload.Advice) {
-	t := &s.tickets
-	if t.pending != 0 && now < t.pending+t.patience {
-		return
-	}
-	named := c.namedWorkers(now, s)
-	if len(named) == 0 {
-		return
-	}
-	expected := advice.Duration(len(named))
-	t.pending, t.patience = now, expected+questionTimeout
-	c.actions.Questions = append(c.actions.Questions, Question{
-		Step: s.id, Workers: named, Expected: expected, Valid: advice.Valid, Due: c.latestStart(s),
-	})
+// known reports whether a question about the step was ever answered.
+func (t *tickets) known() bool { return t.good != nil }
+
+// isGood reports whether a worker is known to be allowed, with or without a ticket.
+func (t *tickets) isGood(w *worker) bool {
+	_, ok := t.good[w.ID]
+	return ok
 }
 
-// namedWorkers lists the workers to ask about: those that may run the step and
-// have most room. Those that are known to be good come alone.
-func (c *Cell) namedWorkers(now time.Duration, s *step) []string {
-	var candidates []*worker
+// waitsForAnswer reports whether a question is under way.
+func (t *tickets) waitsForAnswer(now time.Duration) bool {
+	return t.pending != 0 && now < t.pending+t.patience
+}
+
+// askFirst asks about all workers that could ever run a step, those with most room
+// first.
+func (c *Cell) askFirst(now time.Duration, s *step, advice workload.Advice) {
+	c.ask(now, s, advice, c.unasked(now, s))
+}
+
+// unasked lists the workers that no question about a step has named yet, those with
+// most room first.
+func (c *Cell) unasked(now time.Duration, s *step) []*worker {
+	var list []*worker
 	for _, w := range c.order {
-		if c.serves(s, w) && w.usable(now) && s.tickets.mayRun(w.ID) && s.Room().Fits(w.Capacity) {
-			candidates = append(candidates, w)
+		if c.serves(s, w) && w.usable(now) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
+			list = append(list, w)
 		}
 	}
-	fits := func(w *worker) bool { return s.Room().Fits(w.free()) }
-	if len(s.tickets.good) > 0 {
-		// The rest of the workers is known to be of no use, or lacked room then.
-		known := slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool {
-			_, ok := s.tickets.good[w.ID]
-			return !ok || !fits(w)
-		})
-		if len(known) == 0 {
-			return nil
-		}
-		candidates = known
+	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(b.free().Processors, a.free().Processors) })
+	return list
+}
+
+// ask hands out a question about a step unless one is under way.
+func (c *Cell) ask(now time.Duration, s *step, advice workload.Advice, about []*worker) {
+	if len(about) == 0 || s.tickets.waitsForAnswer(now) {
+		return
 	}
-	slices.SortStableFunc(candidates, func(a, b *worker) int {
-		return int(b.free().Processors - a.free().Processors)
-	})
-	names := make([]string, 0, len(candidates))
-	for _, w := range candidates[:min(len(candidates), maxNamed)] {
+	names := make([]string, 0, len(about))
+	for _, w := range about[:min(len(about), maxNamed)] {
 		names = append(names, w.ID)
 	}
-	return names
+	expected := advice.Duration(len(names))
+	s.tickets.pending, s.tickets.patience = now, expected+questionTimeout
+	c.actions.Questions = append(c.actions.Questions, Question{
+		Step: s.id, Workers: names, Expected: expected, Valid: advice.Valid, Due: c.latestStart(s),
+	})
 }
 
 // Advised takes the answer to a question. A nil map is a question that failed.
--- /dev/null
+++ b/cell/tickets_test.go
@@ -0,0 +1,55 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+func all(string) bool { return true }
+
+// A new owner hears its workers one after the other. A step that was asked about
+// while few of them were known must come to the others too.
+func TestAdviceWidensWhenFewWorkersWereKnown(t *testing.T) {
+	w := newWorld(1)
+	w.submit(job(id(1), "Advised", 8, func(s *workload.Step) { s.Gang = true }))
+	qt.Assert(t, w.questions, qt.HasLen, 1)
+	w.advise(all)
+	qt.Assert(t, w.runningAll(), qt.Equals, 0)
+	w.addWorker("w1", "r0")
+	w.addWorker("w2", "r0")
+	w.reportAll()
+	w.advise(all)
+	qt.Assert(t, w.runningAll(), qt.Equals, 8)
+}
+
+// Tasks that are left over come to workers that were never named.
+func TestAdviceWidensForTasksThatAreLeft(t *testing.T) {
+	w := newWorld(1)
+	w.submit(job(id(1), "Advised", 8, nil))
+	w.advise(all)
+	qt.Assert(t, w.runningAll(), qt.Equals, 5)
+	w.addWorker("w1", "r0")
+	w.reportAll()
+	w.advise(all)
+	qt.Assert(t, w.runningAll(), qt.Equals, 8)
+}
+
+// A ticket that lapsed while the gang waited for room is renewed once there is
+// room, for good workers only.
+func TestAdviceIsRenewedOnceThereIsRoom(t *testing.T) {
+	w := newWorld(2)
+	w.submit(job(id(1), "Plain", 10, nil))
+	w.submit(job(id(2), "Advised", 5, func(s *workload.Step) { s.Gang = true }))
+	w.advise(func(id string) bool { return id == "w0" })
+	w.pass(3 * second)
+	qt.Assert(t, w.questions, qt.HasLen, 0)
+	w.workers["w0"].endAll("Done")
+	w.reportAll()
+	qt.Assert(t, w.questions, qt.HasLen, 1)
+	qt.Assert(t, w.questions[0].Workers, qt.DeepEquals, []string{"w0"})
+	w.advise(all)
+	qt.Assert(t, w.workers["w0"].running, qt.HasLen, 5)
+}
