advice: a host gets no more questions than it answers

Ruled out: the service itself, which was asked 5.5 s each second by 8 hosts. A host has two short questions or a long one.

--- a/advice/desk.go
+++ b/advice/desk.go
@@ -12,11 +12,13 @@
 	// longQuestion is the duration from which a question goes to the hosts for
 	// long ones only.
 	longQuestion = 250 * time.Millisecond
-	// ahead is how much work a host may have when it gets another question, so
-	// that it isn't idle while the next is on its way.
-	ahead = 40 * time.Millisecond
+	// maxShort is how many short questions a host has at once: one that the service
+	// handles, and one that is on its way meanwhile.
+	maxShort = 2
 	// lost is how long after its expected end an answer is given up.
 	lost = 2 * time.Second
+	// delayWeight is the weight of the past in the mean delay of a host.
+	delayWeight = 4
 )
 
 // Assignment is a question for one host.
@@ -30,11 +32,15 @@
 type Desk struct {
 	waiting []cell.Question
 	asked   map[string][]asked
+	// delay is how much longer than expected the answers of each host take, as a
+	// moving mean.
+	delay map[string]time.Duration
 }
 
 // asked is a question at a host.
 type asked struct {
 	question cell.Question
+	at       time.Duration
 	// until is when the answer is expected.
 	until time.Duration
 }
@@ -46,10 +52,23 @@
 }
 
 // Answered takes a question off its host.
-func (d *Desk) Answered(host string, q cell.Question) {
+func (d *Desk) Answered(now time.Duration, host string, q cell.Question) {
+	for _, a := range d.asked[host] {
+		if a.question.Step == q.Step {
+			d.learn(host, now-a.at-q.Expected)
+		}
+	}
 	d.asked[host] = slices.DeleteFunc(d.asked[host], func(a asked) bool { return a.question.Step == q.Step })
 }
 
+// learn takes how much longer than expected an answer took.
+func (d *Desk) learn(host string, delay time.Duration) {
+	if d.delay == nil {
+		d.delay = map[string]time.Duration{}
+	}
+	d.delay[host] += (delay - d.delay[host]) / delayWeight
+}
+
 // Depth returns how many questions wait.
 func (d *Desk) Depth() int { return len(d.waiting) }
 
@@ -69,7 +88,7 @@
 			rest = append(rest, q)
 			continue
 		}
-		d.asked[host] = append(d.asked[host], asked{question: q, until: max(now, d.busyUntil(host)) + q.Expected})
+		d.asked[host] = append(d.asked[host], asked{question: q, at: now, until: max(now, d.busyUntil(host)) + q.Expected})
 		assigned = append(assigned, Assignment{Host: host, Question: q})
 	}
 	d.waiting = rest
@@ -85,16 +104,24 @@
 		if len(hosts) > 1 && long != (i < forLong) && (long || d.hasLong(h)) {
 			continue
 		}
-		if d.busyUntil(h) > now+ahead {
+		if n := len(d.asked[h]); n >= maxShort || n > 0 && long {
 			continue
 		}
-		if !found || d.busyUntil(h) < d.busyUntil(best) {
+		if !found || d.before(h, best) {
 			best, found = h, true
 		}
 	}
 	return best, found
 }
 
+// before reports whether one host is likely to answer before another.
+func (d *Desk) before(host, other string) bool {
+	if len(d.asked[host]) != len(d.asked[other]) {
+		return len(d.asked[host]) < len(d.asked[other])
+	}
+	return d.delay[host] < d.delay[other]
+}
+
 func (d *Desk) hasLong(host string) bool {
 	return slices.ContainsFunc(d.asked[host], func(a asked) bool { return a.question.Expected >= longQuestion })
 }
--- /dev/null
+++ b/advice/desk_test.go
@@ -0,0 +1,60 @@
+package advice_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/advice"
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+const ms = time.Millisecond
+
+var hosts = []string{"a", "b", "c", "d"}
+
+func question(n int, expected time.Duration) cell.Question {
+	return cell.Question{Step: workload.StepID{Job: strconv.Itoa(n)}, Expected: expected, Due: time.Duration(n) * ms}
+}
+
+// Hosts that are far from the service answer later than expected. They must not
+// get new questions at the rate of the service, or their rings fill up.
+func TestSlowHostsGetNoMoreThanTheyAnswer(t *testing.T) {
+	var d advice.Desk
+	given := 0
+	for i := range 100 {
+		d.Add(question(i, 20*ms))
+		given += len(d.Assign(time.Duration(i)*20*ms, hosts[3:]))
+	}
+	qt.Assert(t, given <= 4, qt.IsTrue, qt.Commentf("%d questions at a host that answers none", given))
+}
+
+// Long questions wait for the hosts that take them; short ones find a host.
+func TestLongQuestionsLeaveHostsForShortOnes(t *testing.T) {
+	var d advice.Desk
+	for i := range 10 {
+		d.Add(question(i, time.Second))
+	}
+	qt.Assert(t, d.Assign(0, hosts), qt.HasLen, 2)
+	d.Add(question(11, 20*ms))
+	assigned := d.Assign(0, hosts)
+	qt.Assert(t, assigned, qt.HasLen, 1)
+	qt.Assert(t, assigned[0].Question.Expected, qt.Equals, 20*ms)
+}
+
+// The most pressing question goes first, and a host that answers late goes last.
+func TestOrderOfQuestionsAndHosts(t *testing.T) {
+	var d advice.Desk
+	d.Add(question(1, 20*ms))
+	first := d.Assign(0, hosts)[0]
+	d.Answered(500*ms, first.Host, first.Question)
+	d.Add(question(3, 20*ms))
+	d.Add(question(2, 20*ms))
+	assigned := d.Assign(500*ms, hosts)
+	qt.Assert(t, assigned, qt.HasLen, 2)
+	qt.Assert(t, assigned[0].Question.Step.Job, qt.Equals, "2")
+	qt.Assert(t, assigned[0].Host, qt.Not(qt.Equals), first.Host)
+}
--- a/front/link.go
+++ b/front/link.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// advise asks the advice service one question after the other.
+// advise asks the advice service one question after the other. Two duties do so,
+// so that a question is on its way while the service handles another.
 func (h *Host) advise(ctx context.Context) {
 	for {
 		select {
@@ -116,6 +117,10 @@
 func (h *Host) askAdvice(ctx context.Context, a asked) {
 	begun := clock.Now()
 	q := a.question.Question
+	if a.question.Fence < h.fence() {
+		// Its owner no longer has the cell.
+		return
+	}
 	tickets, err := h.advisor.Ask(ctx, q.Step, q.Workers, q.Expected)
 	reply := scheduler.Advice{Fence: a.question.Fence, Question: q, Tickets: tickets, Took: clock.Now() - begun}
 	if err != nil {
@@ -125,6 +130,13 @@
 	h.answerAdvice(a.from, reply)
 }
 
+// fence returns the fencing token of the owner as far as it is known here.
+func (h *Host) fence() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.watcher.Fence
+}
+
 func (h *Host) answerAdvice(to string, a scheduler.Advice) {
 	if to == h.settings.Host {
 		h.advised(to, a)
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -129,7 +129,7 @@
 	}
 	received := clock.Now()
 	o.post(func(now time.Duration) {
-		o.desk.Answered(from, a.Question)
+		o.desk.Answered(now, from, a.Question)
 		if a.Failed != "" {
 			o.log.WithFields(logrus.Fields{"step": a.Question.Step.String(), "host": from, "why": a.Failed}).Warn("scheduler: advice failed")
 		}
@@ -238,7 +238,7 @@
 	now := clock.Now()
 	for _, a := range o.desk.Assign(now, o.members.Askers()) {
 		if !o.members.Ask(a.Host, Question{Fence: o.Fence(), Question: a.Question}) {
-			o.desk.Answered(a.Host, a.Question)
+			o.desk.Answered(now, a.Host, a.Question)
 			o.desk.Add(a.Question)
 		}
 	}
