--- a/cell/action.go
+++ b/cell/action.go
@@ -14,6 +14,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// TicketUntil is when the ticket lapses; 0 is never.
+	TicketUntil time.Duration
 }
 
 // Stop is an order to stop a run, or never to start it.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -38,6 +38,8 @@
 	stale bool
 	// wall is the time since 1970 in milliseconds, as of the last Tick.
 	wall int64
+	// recordDelay is how long it takes to record a start.
+	recordDelay time.Duration
 }
 
 // New returns an empty cell.
@@ -54,6 +56,9 @@
 	c.stale = true
 }
 
+// SetRecordDelay tells how long it takes to record a start.
+func (c *Cell) SetRecordDelay(d time.Duration) { c.recordDelay = d }
+
 // Take returns what is to be done and recorded since the last call. Starts must
 // wait until the changes are recorded.
 func (c *Cell) Take() (Actions, []Change, []Note) {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -12,6 +12,9 @@
 // after them.
 const maxGangsHeld = 2
 
+// bookingRest is how long room stays booked after the tickets have come.
+const bookingRest = 200 * time.Millisecond
+
 // placeGang starts all tasks of a gang if there is room for all of them.
 func (c *Cell) placeGang(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) bool {
 	number := 0
@@ -22,13 +25,14 @@
 		}
 		number = max(number, t.run)
 	}
+	release(s, held)
 	list := c.candidates(now, s, queue)
-	plan := planGang(s, ticketed(now, s, queue, list), held)
+	plan := planGang(s, c.ticketed(now, s, queue, list), held)
 	if plan == nil {
 		c.askForGang(now, s, queue, list, held)
 		return false
 	}
-	s.blocked = 0
+	s.blocked, s.booked = 0, nil
 	c.alignCheckpoint(s)
 	for i, t := range s.tasks {
 		c.place(now, s, t, plan[i], number+1)
@@ -60,7 +64,10 @@
 		return
 	}
 	if plan := planGang(s, good, held); plan != nil {
-		c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
+		if !s.tickets.waitsForAnswer(now) {
+			c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
+			s.booked = plan
+		}
 		return
 	}
 	if unasked := c.unasked(now, s); len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
@@ -112,6 +119,30 @@
 	}
 }
 
+// book keeps the room of gangs whose tickets are on their way, so that the question,
+// which may take a second, isn't in vain.
+func (c *Cell) book(now time.Duration, steps []*step, held map[string]task.Size) {
+	for _, s := range steps {
+		if !s.Gang || s.booked == nil {
+			continue
+		}
+		if !s.tickets.waitsForAnswer(now) && now > s.tickets.answered+bookingRest {
+			s.booked = nil
+			continue
+		}
+		for _, w := range s.booked {
+			held[w.ID] = held[w.ID].Plus(s.Room())
+		}
+	}
+}
+
+// release gives a gang the room that is booked for it.
+func release(s *step, held map[string]task.Size) {
+	for _, w := range s.booked {
+		held[w.ID] = held[w.ID].Minus(s.Room())
+	}
+}
+
 // alignCheckpoint gives all tasks of a gang the same checkpoint: any of one run
 // serves for all.
 func (c *Cell) alignCheckpoint(s *step) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -38,6 +38,8 @@
 	failedRun int
 	// blocked is when a gang first lacked room; 0 is never.
 	blocked time.Duration
+	// booked is the plan of a gang whose tickets are on their way.
+	booked []*worker
 }
 
 // taskRecord is one task.
--- a/cell/place.go
+++ b/cell/place.go
@@ -33,11 +33,11 @@
 }
 
 // ticketed returns those of a list for which there is a ticket, if one is needed.
-func ticketed(now time.Duration, s *step, queue workload.Queue, list []*worker) []*worker {
+func (c *Cell) ticketed(now time.Duration, s *step, queue workload.Queue, list []*worker) []*worker {
 	if queue.Advice == nil {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(w *worker) bool { return !s.tickets.valid(now, w) })
+	return slices.DeleteFunc(slices.Clone(list), func(w *worker) bool { return !c.valid(now, s, w) })
 }
 
 // tasksOn counts the runs of a step on a worker.
@@ -55,7 +55,7 @@
 // tasks are left, it asks for tickets of workers that have room.
 func (c *Cell) placeTasks(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
 	list := c.candidates(now, s, queue)
-	allowed := ticketed(now, s, queue, list)
+	allowed := c.ticketed(now, s, queue, list)
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
@@ -63,7 +63,7 @@
 		w := best(s, allowed, held, nil)
 		if w == nil {
 			c.askMore(now, s, queue, slices.DeleteFunc(slices.Clone(list), func(w *worker) bool {
-				return s.tickets.valid(now, w) || best(s, []*worker{w}, held, nil) == nil
+				return c.valid(now, s, w) || best(s, []*worker{w}, held, nil) == nil
 			}))
 			return
 		}
--- a/cell/run.go
+++ b/cell/run.go
@@ -78,7 +78,7 @@
 	}
 	c.change(s.job)
 	c.actions.Starts = append(c.actions.Starts, Start{
-		Worker: w.Worker, Task: r.id, Run: number, Spec: s.job.Spec, Checkpoint: t.checkpoint, Ticket: s.tickets.of(w.ID),
+		Worker: w.Worker, Task: r.id, Run: number, Spec: s.job.Spec, Checkpoint: t.checkpoint, Ticket: s.tickets.good[w.ID].value, TicketUntil: s.tickets.good[w.ID].until,
 	})
 }
 
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -79,7 +79,9 @@
 	c.stale = false
 	held := map[string]task.Size{}
 	gangsHeld := 0
-	for _, s := range c.waiting(now) {
+	steps := c.waiting(now)
+	c.book(now, steps, held)
+	for _, s := range steps {
 		queue, ok := c.catalogue.Queue(s.job.Queue)
 		if !ok {
 			continue
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// ticketMargin is how much earlier than its end a ticket is no longer used:
-	// the time for the record and the order.
-	ticketMargin = 200 * time.Millisecond
+	// ticketMargin is how much earlier than its end a ticket is no longer used,
+	// beside the time for the record: that of the order and of its way.
+	ticketMargin = 150 * time.Millisecond
 	// questionTimeout is when a question without an answer is asked again,
 	// beyond the time that it is expected to take.
 	questionTimeout = 2500 * time.Millisecond
@@ -28,6 +28,8 @@
 	asked map[string]bool
 	// pending is when the question under way was asked; 0 is none.
 	pending time.Duration
+	// answered is when the last answer came.
+	answered time.Duration
 	// patience is how long its answer may take.
 	patience time.Duration
 }
@@ -39,12 +41,11 @@
 	life  int64
 }
 
-func (t *tickets) of(worker string) string { return t.good[worker].value }
-
-// valid reports whether there is a ticket for a worker that can still be used.
-func (t *tickets) valid(now time.Duration, w *worker) bool {
-	held, ok := t.good[w.ID]
-	return ok && held.value != "" && held.life == w.Life && now+ticketMargin < held.until
+// valid reports whether there is a ticket for a worker that will still hold when a
+// start has been recorded.
+func (c *Cell) valid(now time.Duration, s *step, w *worker) bool {
+	held, ok := s.tickets.good[w.ID]
+	return ok && held.value != "" && held.life == w.Life && now+c.recordDelay+ticketMargin < held.until
 }
 
 // drop forgets a ticket that was turned down.
@@ -112,7 +113,7 @@
 	}
 	t := &s.tickets
 	c.note(Note{What: "advice", Job: q.Step.Job, Task: q.Step.String(), Why: countOf(len(answered), len(q.Workers)), Age: now - t.pending})
-	t.pending = 0
+	t.pending, t.answered = 0, now
 	c.stale = true
 	if answered == nil {
 		return
--- a/cell/tickets_test.go
+++ b/cell/tickets_test.go
@@ -53,3 +53,34 @@
 	w.advise(all)
 	qt.Assert(t, w.workers["w0"].running, qt.HasLen, 5)
 }
+
+// A store that is slow delays starts; a ticket that would lapse meanwhile is not
+// used.
+func TestTicketsOutlastTheRecord(t *testing.T) {
+	w := newWorld(1)
+	w.SetRecordDelay(1900 * ms)
+	w.submit(job(id(1), "Advised", 1, nil))
+	w.advise(all)
+	qt.Assert(t, w.starts, qt.HasLen, 0)
+	w.SetRecordDelay(30 * ms)
+	w.step()
+	qt.Assert(t, w.starts, qt.HasLen, 1)
+}
+
+// A burst of small urgent tasks comes while the tickets of a gang are on their way:
+// the room that the question was asked for stays the gang's.
+func TestRoomIsKeptWhileTicketsAreOnTheirWay(t *testing.T) {
+	w := newWorld(1)
+	w.submit(job(id(1), "Plain", 5, nil))
+	w.submit(job(id(2), "Advised", 5, func(s *workload.Step) { s.Gang = true }))
+	w.advise(all)
+	w.pass(3 * second)
+	w.workers["w0"].endAll("Done")
+	w.reportAll()
+	qt.Assert(t, w.questions, qt.HasLen, 1)
+	w.submit(job(id(3), "Plain", 5, func(s *workload.Step) { s.Estimate = 10 * ms }))
+	qt.Assert(t, w.runningAll(), qt.Equals, 0)
+	w.advise(all)
+	qt.Assert(t, w.workers["w0"].running, qt.HasLen, 5)
+	qt.Assert(t, w.workers["w0"].running[0].Task.Job, qt.Equals, id(2))
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -29,6 +29,8 @@
 	// commitPause is the least time between two transactions; it bounds calls to
 	// the store at 40 a second, and adds some 12 ms to a start on average.
 	commitPause = 25 * time.Millisecond
+	// commitWeight is the weight of the past in the mean length of a transaction.
+	commitWeight = 8
 	// stallBound is how long a transaction may take before new jobs are refused.
 	stallBound = 900 * time.Millisecond
 	// stallRetry is when callers that were refused then may come back.
@@ -83,6 +85,8 @@
 	// commitBegun is when the transaction under way began, commitEnded when the
 	// last one succeeded.
 	commitBegun time.Duration
+	// commitMean is the moving mean of the length of a transaction.
+	commitMean  time.Duration
 	commitEnded atomic.Int64
 	pruned      time.Duration
 	resigning   chan struct{}
@@ -280,6 +284,7 @@
 
 // release lets out what waited for the transaction that has succeeded.
 func (o *Owner) release() {
+	o.learnDelay(clock.Now() - o.commitBegun)
 	o.committing = false
 	o.commitEnded.Store(int64(clock.Now()))
 	for _, effect := range o.underway {
@@ -288,6 +293,13 @@
 	o.underway = nil
 }
 
+// learnDelay takes the length of a transaction. A start waits for the one under way
+// at most, and then for its own.
+func (o *Owner) learnDelay(length time.Duration) {
+	o.commitMean += (length - o.commitMean) / commitWeight
+	o.cell.SetRecordDelay(2*max(o.commitMean, length) + commitPause)
+}
+
 // stalled reports whether the store takes too long for new jobs.
 func (o *Owner) stalled(now time.Duration) bool {
 	return o.committing && now-o.commitBegun > stallBound
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -245,7 +245,7 @@
 func (o *Owner) start(s cell.Start) {
 	now := clock.Now()
 	d := o.duties[s.Worker.ID]
-	if d == nil || !o.cell.Wanted(s.Task, s.Run, s.Worker.ID) {
+	if d == nil || s.TicketUntil != 0 && now > s.TicketUntil || !o.cell.Wanted(s.Task, s.Run, s.Worker.ID) {
 		o.cell.Answered(now, s.Task, s.Run, s.Worker.ID, cell.Unsent)
 		return
 	}
