--- a/codec/codec.go
+++ b/codec/codec.go
@@ -10,6 +10,9 @@
 // maxElements bounds the arrays and maps that are decoded.
 const maxElements = 1 << 20
 
+// Raw is a value that is encoded already.
+type Raw = cbor.RawMessage
+
 // Marshal returns value as CBOR. Times keep microseconds.
 func Marshal(value any) ([]byte, error) { return encoder.Marshal(value) }
 
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -25,7 +25,7 @@
 // submit accepts a job once it is recorded. A job that is known was accepted
 // before, and the reply waits for the record all the same.
 func (o *Owner) submit(now time.Duration, c intake.Call, reply func(intake.Reply)) {
-	if _, known := o.finished[c.ID]; !known {
+	if _, known := o.records.finished.get(c.ID); !known {
 		if _, known := o.cell.State(c.ID); !known {
 			if o.stalled(now) {
 				o.count.Refused.Add(1)
@@ -46,7 +46,7 @@
 	if o.pendingFinal[id] {
 		return intake.Reply{Outcome: intake.Told, State: workload.Running}
 	}
-	if f, ok := o.finished[id]; ok {
+	if f, ok := o.records.finished.get(id); ok {
 		return intake.Reply{Outcome: intake.Told, State: f.State}
 	}
 	if s, ok := o.cell.State(id); ok {
@@ -56,7 +56,7 @@
 }
 
 func (o *Owner) cancel(now time.Duration, c intake.Call, reply func(intake.Reply)) {
-	_, isFinished := o.finished[c.ID]
+	_, isFinished := o.records.finished.get(c.ID)
 	if !isFinished && !o.cell.Cancel(now, c.ID) {
 		reply(intake.Reply{Outcome: intake.Gone})
 		return
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -35,10 +35,10 @@
 	stallBound = 900 * time.Millisecond
 	// stallRetry is when callers that were refused then may come back.
 	stallRetry = time.Second
+	// loadInterval is the pause between two lines about the load.
+	loadInterval = 2 * time.Second
 	// pruneInterval is the pause between two removals of old final states.
 	pruneInterval = 2 * time.Second
-	// pruneMost bounds the rows of one removal.
-	pruneMost = 40
 )
 
 // Options say for which cell and under which bounds an owner decides.
@@ -71,9 +71,7 @@
 	duties map[string]*workerDuty
 	group  sync.WaitGroup
 
-	outbox outbox
-	// finished holds the final states that are recorded or about to be.
-	finished map[string]finished
+	records *records
 	// pendingFinal holds jobs whose final state is not recorded yet.
 	pendingFinal map[string]bool
 	// effects wait for the transaction after the one under way.
@@ -89,7 +87,9 @@
 	commitMean  time.Duration
 	commitEnded atomic.Int64
 	pruned      time.Duration
-	resigning   chan struct{}
+	// loadTold is when the load was last logged.
+	loadTold  time.Duration
+	resigning chan struct{}
 }
 
 // New returns the owner of the cell that a ledger was taken for.
@@ -97,7 +97,7 @@
 	return &Owner{
 		options: options, ledger: l, store: store, workers: workers, members: members, log: log, count: count,
 		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{},
-		finished: map[string]finished{}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}),
+		records: newRecords(options.Cell), pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}),
 	}
 }
 
@@ -175,6 +175,7 @@
 		case <-tick.C:
 			o.cell.Tick(clock.Now(), time.Now().UnixMilli())
 			o.prune(clock.Now())
+			o.tellLoad(clock.Now())
 		case <-pace.C:
 		case err := <-o.committed:
 			if err != nil {
@@ -209,9 +210,8 @@
 	actions, changes, notes := o.cell.Take()
 	o.write(notes)
 	for _, c := range changes {
-		o.outbox.add(c)
+		o.records.add(time.Now().UnixMilli(), c)
 		if c.Progress.State.Final() {
-			o.finished[c.Job.ID] = finished{State: c.Progress.State, At: time.Now().UnixMilli()}
 			o.pendingFinal[c.Job.ID] = true
 			o.effects = append(o.effects, func() { delete(o.pendingFinal, c.Job.ID) })
 		}
@@ -255,7 +255,7 @@
 		return 0, false
 	}
 	now := clock.Now()
-	if o.outbox.empty() && len(o.effects) == 0 && now-o.commitBegun < tenure.Renewal {
+	if o.records.empty() && len(o.effects) == 0 && now-o.commitBegun < tenure.Renewal {
 		return 0, false
 	}
 	if wait := o.commitBegun + commitPause - now; wait > 0 {
@@ -266,7 +266,7 @@
 }
 
 func (o *Owner) commit(ctx context.Context, now time.Duration) {
-	changes, err := o.outbox.take(o.options.Cell, time.Now().UnixMilli())
+	changes, err := o.records.take()
 	if err != nil {
 		o.committed <- err
 		return
@@ -320,7 +320,7 @@
 		o.release()
 	}
 	o.dispatch(ctx)
-	changes, err := o.outbox.take(o.options.Cell, time.Now().UnixMilli())
+	changes, err := o.records.take()
 	if err != nil {
 		return err
 	}
@@ -340,12 +340,28 @@
 	}
 	o.pruned = now
 	oldest := time.Now().Add(-o.options.StatusKept - time.Minute).UnixMilli()
-	for id, f := range o.finished {
-		if f.At < oldest && !o.pendingFinal[id] && len(o.outbox.removals) < pruneMost {
-			delete(o.finished, id)
-			o.outbox.removals = append(o.outbox.removals, id)
+	var old []string
+	o.records.finished.each(func(id string, f finished) {
+		if f.At < oldest && !o.pendingFinal[id] {
+			old = append(old, id)
 		}
+	})
+	for _, id := range old {
+		o.records.finished.remove(id)
+	}
+}
+
+// tellLoad logs the load now and then.
+func (o *Owner) tellLoad(now time.Duration) {
+	if now-o.loadTold < loadInterval {
+		return
 	}
+	o.loadTold = now
+	l := o.cell.Load(now)
+	o.log.WithFields(logrus.Fields{
+		"jobs": l.Jobs, "workers": l.Usable, "processors": l.Capacity / 1000, "used": l.Used / 1000, "wanted": l.Wanted / 1000,
+		"steps": l.Steps, "gangs": l.Gangs, "unadvised": l.Unadvised, "questions": o.desk.Depth(), "commit_ms": o.commitMean.Milliseconds(),
+	}).Info("scheduler: load")
 }
 
 // write logs the notes of the cell.
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -9,77 +9,79 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
+// removalsMost bounds the rows of final jobs that one transaction removes.
+const removalsMost = 16
+
 // finished is what is kept of a job that is final.
 type finished struct {
-	State workload.State `cbor:"1,keyasint"`
+	_     struct{} `cbor:",toarray"`
+	State workload.State
 	// At is when the job became final, in milliseconds since 1970.
-	At int64 `cbor:"2,keyasint"`
+	At int64
 }
 
-// outbox gathers the changes of jobs for the next transaction.
-type outbox struct {
-	order   []string
-	changes map[string]cell.Change
-	// removals are jobs whose final state need not be kept any more.
+// records is what the store has, or is about to have, of the jobs of a cell. A job
+// that is final has an entry in finished; its row in the table of jobs is removed
+// when there is time, and is ignored until then.
+type records struct {
+	part     string
+	progress book[cell.Progress]
+	finished book[finished]
+	created  []workload.Job
 	removals []string
 }
 
-// add takes a change; of one job only the last counts.
-func (o *outbox) add(c cell.Change) {
-	if o.changes == nil {
-		o.changes = map[string]cell.Change{}
-	}
-	earlier, known := o.changes[c.Job.ID]
-	if !known {
-		o.order = append(o.order, c.Job.ID)
-	}
-	c.New = c.New || earlier.New
-	o.changes[c.Job.ID] = c
+func newRecords(part string) *records {
+	r := &records{part: part}
+	r.progress.table, r.finished.table = ledger.ProgressTable, ledger.FinishedTable
+	return r
 }
 
-func (o *outbox) empty() bool { return len(o.order) == 0 && len(o.removals) == 0 }
-
-// take returns the rows to write, and empties the outbox.
-func (o *outbox) take(part string, wall int64) ([]ledger.Change, error) {
-	changes := make([]ledger.Change, 0, len(o.order))
-	for _, id := range o.order {
-		c, err := rowsOf(part, wall, o.changes[id])
-		if err != nil {
-			return nil, errors.Annotatef(err, "job %s", id)
-		}
-		changes = append(changes, c)
+// add takes a change of a job.
+func (r *records) add(wall int64, c cell.Change) {
+	if c.New {
+		r.created = append(r.created, c.Job)
 	}
-	for _, id := range o.removals {
-		changes = append(changes, ledger.Change{Removes: []ledger.Row{{Table: ledger.FinishedTable, Part: part, Key: id}}})
+	if !c.Progress.State.Final() {
+		r.progress.set(c.Job.ID, c.Progress)
+		return
 	}
-	*o = outbox{}
-	return changes, nil
+	r.finished.set(c.Job.ID, finished{State: c.Progress.State, At: wall})
+	r.progress.remove(c.Job.ID)
+	r.removals = append(r.removals, c.Job.ID)
 }
 
-func rowsOf(part string, wall int64, c cell.Change) (ledger.Change, error) {
-	id := c.Job.ID
-	if c.Progress.State.Final() {
-		value, err := codec.Marshal(finished{State: c.Progress.State, At: wall})
+// empty reports whether nothing has to be written soon.
+func (r *records) empty() bool {
+	return len(r.created) == 0 && r.progress.empty() && r.finished.empty()
+}
+
+// take returns the rows to write. They may be split between transactions at any
+// place: a job without progress hasn't begun, and one that is final stays so
+// whatever else is left of it.
+func (r *records) take() ([]ledger.Change, error) {
+	var changes []ledger.Change
+	for _, j := range r.created {
+		value, err := codec.Marshal(j)
 		if err != nil {
-			return ledger.Change{}, errors.Trace(err)
-		}
-		rows := ledger.Change{Writes: []ledger.Row{{Table: ledger.FinishedTable, Part: part, Key: id, Value: value}}}
-		if !c.New {
-			rows.Removes = []ledger.Row{{Table: ledger.JobTable, Part: part, Key: id}, {Table: ledger.ProgressTable, Part: part, Key: id}}
+			return nil, errors.Annotatef(err, "job %s", j.ID)
 		}
-		return rows, nil
+		changes = append(changes, ledger.Change{Writes: []ledger.Row{{Table: ledger.JobTable, Part: r.part, Key: j.ID, Value: value}}})
 	}
-	value, err := codec.Marshal(c.Progress)
+	r.created = nil
+	final, err := r.finished.take(r.part)
 	if err != nil {
-		return ledger.Change{}, errors.Trace(err)
+		return nil, err
 	}
-	rows := ledger.Change{Writes: []ledger.Row{{Table: ledger.ProgressTable, Part: part, Key: id, Value: value}}}
-	if c.New {
-		job, err := codec.Marshal(c.Job)
-		if err != nil {
-			return ledger.Change{}, errors.Trace(err)
-		}
-		rows.Writes = append(rows.Writes, ledger.Row{Table: ledger.JobTable, Part: part, Key: id, Value: job})
+	progress, err := r.progress.take(r.part)
+	if err != nil {
+		return nil, err
 	}
-	return rows, nil
+	changes = append(append(changes, final...), progress...)
+	n := min(len(r.removals), removalsMost)
+	for _, id := range r.removals[:n] {
+		changes = append(changes, ledger.Change{Removes: []ledger.Row{{Table: ledger.JobTable, Part: r.part, Key: id}}})
+	}
+	r.removals = r.removals[n:]
+	return changes, nil
 }
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -7,7 +7,6 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
@@ -31,11 +30,10 @@
 		return errors.Trace(err)
 	}
 	o.listWorkers(begun, workers)
-	if err := o.recoverFinished(ctx); err != nil {
+	if err := recoverBook(ctx, o, &o.records.finished); err != nil {
 		return errors.Trace(err)
 	}
-	progress, err := o.recoverProgress(ctx)
-	if err != nil {
+	if err := recoverBook(ctx, o, &o.records.progress); err != nil {
 		return errors.Trace(err)
 	}
 	jobs, _, err := ledger.All(ctx, o.store, ledger.JobTable, o.options.Cell)
@@ -50,10 +48,10 @@
 		if err := codec.Unmarshal(r.Value, &job); err != nil {
 			return errors.Annotatef(err, "job %s", r.Key)
 		}
-		o.cell.Restore(now, bound, job, progress[job.ID])
+		o.restore(now, bound, job)
 	}
 	o.log.WithFields(logrus.Fields{
-		"fence": o.Fence(), "jobs": len(jobs), "finished": len(o.finished), "workers": o.cell.Workers(), "ms": (clock.Now() - begun).Milliseconds(),
+		"fence": o.Fence(), "jobs": o.cell.Jobs(), "finished": o.records.finished.len(), "workers": o.cell.Workers(), "ms": (clock.Now() - begun).Milliseconds(),
 	}).Info("scheduler: recovered")
 	o.group.Add(1)
 	go func() {
@@ -63,35 +61,28 @@
 	return nil
 }
 
-func (o *Owner) recoverFinished(ctx context.Context) error {
-	rows, _, err := ledger.All(ctx, o.store, ledger.FinishedTable, o.options.Cell)
-	if err != nil {
-		return err
-	}
-	for _, r := range rows {
-		var f finished
-		if err := codec.Unmarshal(r.Value, &f); err != nil {
-			return errors.Annotatef(err, "final state of job %s", r.Key)
-		}
-		o.finished[r.Key] = f
+// restore takes a job back, or the rest of one that is final.
+func (o *Owner) restore(now, bound time.Duration, job workload.Job) {
+	if _, ok := o.records.finished.get(job.ID); ok {
+		o.records.progress.remove(job.ID)
+		o.records.removals = append(o.records.removals, job.ID)
+		return
 	}
-	return nil
+	progress, _ := o.records.progress.get(job.ID)
+	o.cell.Restore(now, bound, job, progress)
 }
 
-func (o *Owner) recoverProgress(ctx context.Context) (map[string]cell.Progress, error) {
-	rows, _, err := ledger.All(ctx, o.store, ledger.ProgressTable, o.options.Cell)
+func recoverBook[T any](ctx context.Context, o *Owner, b *book[T]) error {
+	rows, _, err := ledger.All(ctx, o.store, b.table, o.options.Cell)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	progress := make(map[string]cell.Progress, len(rows))
 	for _, r := range rows {
-		var p cell.Progress
-		if err := codec.Unmarshal(r.Value, &p); err != nil {
-			return nil, errors.Annotatef(err, "progress of job %s", r.Key)
+		if err := b.read(r); err != nil {
+			return err
 		}
-		progress[r.Key] = p
 	}
-	return progress, nil
+	return nil
 }
 
 // watchWorkers follows the announcements of workers.
--- a/workload/job.go
+++ b/workload/job.go
@@ -12,9 +12,9 @@
 const (
 	// MaxSpec is the longest specification of a job, in bytes.
 	MaxSpec = 4000
-	// MaxTasks bounds the tasks of one step, so that one job can't take all
-	// memory.
-	MaxTasks = 2000
+	// MaxTasks bounds the tasks of a job, so that its progress, some 40 bytes a
+	// task, fits a row of 64 KiB.
+	MaxTasks = 1000
 	// MaxSteps bounds the steps of one job.
 	MaxSteps = 200
 )
@@ -108,10 +108,15 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errors.NotValidf("job of %d steps", len(j.Steps))
 	}
+	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
 			return errors.Annotatef(err, "step %d", i)
 		}
+		tasks += s.Tasks
+	}
+	if tasks > MaxTasks {
+		return errors.NotValidf("job of %d tasks", tasks)
 	}
 	if s := j.Schedule; s.Times < 0 || s.Times > 1 && s.Interval <= 0 {
 		return errors.NotValidf("schedule of %d times every %d ms", s.Times, s.Interval)
