cell, front: answers of the advice service outlast an owner, and passes are cheap

Hosts keep what they were told for the next owner; a pass no longer sorts workers for steps that wait for an answer.

--- a/advice/desk.go
+++ b/advice/desk.go
@@ -53,12 +53,13 @@
 
 // Answered takes a question off its host.
 func (d *Desk) Answered(now time.Duration, host string, q cell.Question) {
-	for _, a := range d.asked[host] {
+	for i, a := range d.asked[host] {
 		if a.question.Step == q.Step {
 			d.learn(host, now-a.at-q.Expected)
+			d.asked[host] = slices.Delete(d.asked[host], i, i+1)
+			return
 		}
 	}
-	d.asked[host] = slices.DeleteFunc(d.asked[host], func(a asked) bool { return a.question.Step == q.Step })
 }
 
 // learn takes how much longer than expected an answer took.
--- a/advice/desk_test.go
+++ b/advice/desk_test.go
@@ -58,3 +58,10 @@
 	qt.Assert(t, assigned[0].Question.Step.Job, qt.Equals, "2")
 	qt.Assert(t, assigned[0].Host, qt.Not(qt.Equals), first.Host)
 }
+
+// An answer to a question of an earlier owner comes before this one has asked any.
+func TestAnswerToAnEarlierOwner(t *testing.T) {
+	var d advice.Desk
+	d.Answered(0, "a", question(1, ms))
+	qt.Assert(t, d.Depth(), qt.Equals, 0)
+}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -60,17 +60,16 @@
 // askForGang asks for the tickets that a gang lacks, once it would have room with
 // them.
 func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, good []*worker, held map[string]task.Size) {
-	if queue.Advice == nil {
+	if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
 		return
 	}
 	if plan := planGang(s, good, held); plan != nil {
-		if !s.tickets.waitsForAnswer(now) {
-			c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
-			s.booked = plan
-		}
+		c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
+		s.booked = plan
 		return
 	}
-	if unasked := c.unasked(now, s); len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
+	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) })
+	if len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
 		c.ask(now, s, *queue.Advice, append(unasked, good...))
 	}
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -14,6 +15,11 @@
 	since time.Duration
 	// steps holds the steps of the occurrences that are due.
 	steps []*step
+	// chains holds the estimate of the longest chain of steps from each step on,
+	// chain the longest of all, and work the processor-seconds of all steps.
+	chains []time.Duration
+	chain  time.Duration
+	work   float64
 	// due is how many occurrences were made into steps.
 	due       int
 	isChanged bool
@@ -71,7 +77,7 @@
 	if c.jobs[w.ID] != nil {
 		return false
 	}
-	j := &job{Job: w, state: workload.Queued, since: now}
+	j := newJob(w, now)
 	c.jobs[w.ID] = j
 	c.makeDue(now, j)
 	c.change(j)
@@ -79,6 +85,20 @@
 	return true
 }
 
+func newJob(w workload.Job, since time.Duration) *job {
+	j := &job{Job: w, state: workload.Queued, since: since, chains: make([]time.Duration, len(w.Steps))}
+	for i := len(w.Steps) - 1; i >= 0; i-- {
+		s := w.Steps[i]
+		j.chains[i] += s.Estimate
+		j.work += float64(s.Tasks) * s.Estimate.Seconds() * float64(s.Size.Processors) / float64(task.Processor)
+		for _, a := range s.After {
+			j.chains[a] = max(j.chains[a], j.chains[i])
+		}
+		j.chain = max(j.chain, j.chains[i])
+	}
+	return j
+}
+
 // Forget takes back a job that was submitted and never recorded.
 func (c *Cell) Forget(id string) {
 	if j := c.jobs[id]; j != nil && !j.recorded {
--- a/cell/place.go
+++ b/cell/place.go
@@ -12,9 +12,8 @@
 const coldBound = 500
 
 // serves reports whether a worker is of the service and kind that a step needs.
-func (c *Cell) serves(s *step, w *worker) bool {
-	queue, ok := c.catalogue.Queue(s.job.Queue)
-	if !ok || queue.Service != w.Service {
+func serves(s *step, queue workload.Queue, w *worker) bool {
+	if queue.Service != w.Service {
 		return false
 	}
 	return s.Requires == "" || slices.Contains(w.Labels, s.Requires)
@@ -25,7 +24,7 @@
 func (c *Cell) candidates(now time.Duration, s *step, queue workload.Queue) []*worker {
 	var list []*worker
 	for _, w := range c.order {
-		if c.serves(s, w) && w.usable(now) && (queue.Advice == nil || s.tickets.isGood(w)) {
+		if w.usable(now) && serves(s, queue, w) && (queue.Advice == nil || s.tickets.isGood(w)) {
 			list = append(list, w)
 		}
 	}
@@ -62,6 +61,9 @@
 		}
 		w := best(s, allowed, held, nil)
 		if w == nil {
+			if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
+				return
+			}
 			c.askMore(now, s, queue, slices.DeleteFunc(slices.Clone(list), func(w *worker) bool {
 				return c.valid(now, s, w) || best(s, []*worker{w}, held, nil) == nil
 			}))
@@ -74,11 +76,8 @@
 // askMore asks for new tickets of good workers, or else about workers that were
 // never named and have room.
 func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
-	if queue.Advice == nil {
-		return
-	}
 	if len(good) == 0 {
-		good = slices.DeleteFunc(c.unasked(now, s), func(w *worker) bool { return !s.Room().Fits(w.free()) })
+		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) || !s.Room().Fits(w.free()) })
 	}
 	c.ask(now, s, *queue.Advice, good)
 }
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -11,9 +11,10 @@
 // may have granted has ended, which is at bound.
 func (c *Cell) Restore(now, bound time.Duration, w workload.Job, p Progress) {
 	age := time.Duration(c.wall-w.Accepted) * time.Millisecond
-	j := &job{Job: w, state: p.State, since: now - max(0, age), recorded: true}
-	if j.state == "" {
-		j.state = workload.Queued
+	j := newJob(w, now-max(0, age))
+	j.recorded = true
+	if p.State != "" {
+		j.state = p.State
 	}
 	c.jobs[j.ID] = j
 	c.makeDue(j.since, j)
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -12,6 +12,10 @@
 // lateFactor times its objective is when a job earns nothing more.
 const lateFactor = 3
 
+// objectiveWorkers is how many workers the question has that an objective allows for
+// each step.
+const objectiveWorkers = 30
+
 // Tick does what is due at a time: occurrences, stops to send again, leases that
 // have ended, and then gives room to what waits. wall is the time since 1970 in
 // milliseconds.
@@ -87,7 +91,7 @@
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.known() {
-			c.askFirst(now, s, *queue.Advice)
+			c.askFirst(now, s, queue)
 			continue
 		}
 		if !s.Gang {
@@ -103,11 +107,6 @@
 
 // waiting returns the steps with tasks that wait, in the order of service.
 func (c *Cell) waiting(now time.Duration) []*step {
-	type ranked struct {
-		*step
-		late  bool
-		start time.Duration
-	}
 	var steps []ranked
 	for _, j := range c.jobs {
 		if j.state.Final() {
@@ -115,20 +114,11 @@
 		}
 		for _, s := range j.steps {
 			if s.left > 0 && s.hasWaiting(now) && s.ready() {
-				start := c.latestStart(s)
-				steps = append(steps, ranked{s, start < now, start})
+				steps = append(steps, c.rank(now, s))
 			}
 		}
 	}
-	slices.SortFunc(steps, func(a, b ranked) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Occurrence, b.id.Occurrence))
-	})
+	slices.SortFunc(steps, ranked.compare)
 	sorted := make([]*step, len(steps))
 	for i, s := range steps {
 		sorted[i] = s.step
@@ -136,6 +126,51 @@
 	return sorted
 }
 
+// ranked is a step with its place in the order of service.
+type ranked struct {
+	*step
+	// standing tells what the job can still earn.
+	standing standing
+	// start is when the step must start for its job to be in time.
+	start time.Duration
+	// work is what the job takes in all, in processor-seconds.
+	work float64
+}
+
+// standing is what a job can still earn.
+type standing int
+
+// The standings, in the order of service.
+const (
+	inTime standing = iota
+	late
+	hopeless
+)
+
+func (c *Cell) rank(now time.Duration, s *step) ranked {
+	start := c.latestStart(s)
+	r := ranked{step: s, start: start, work: s.job.work}
+	switch overdue := now - start; {
+	case overdue <= 0:
+	case overdue <= (lateFactor-1)*c.objective(s.job):
+		r.standing = late
+	default:
+		r.standing = hopeless
+	}
+	return r
+}
+
+// compare orders those in time by when they must start. Of those that are late the
+// small ones go first: they earn more for what they take.
+func (r ranked) compare(other ranked) int {
+	byStart := cmp.Compare(r.start, other.start)
+	if r.standing == late {
+		byStart = cmp.Compare(r.work, other.work)
+	}
+	return cmp.Or(cmp.Compare(r.standing, other.standing), byStart,
+		cmp.Compare(r.id.Job, other.id.Job), cmp.Compare(r.id.Step, other.id.Step), cmp.Compare(r.id.Occurrence, other.id.Occurrence))
+}
+
 func (s *step) hasWaiting(now time.Duration) bool {
 	for _, t := range s.tasks {
 		if t.waits(now) {
@@ -147,28 +182,17 @@
 
 // latestStart returns when a step must start for its job to meet its objective.
 func (c *Cell) latestStart(s *step) time.Duration {
-	queue, ok := c.catalogue.Queue(s.job.Queue)
-	if !ok {
-		return s.since
-	}
-	whole := s.job.chain(0)
-	objective := time.Duration(queue.Stretch*float64(whole)) + queue.Allowance
-	return s.since + objective - s.job.chain(s.id.Step)
+	return s.since + c.objective(s.job) - s.job.chains[s.id.Step]
 }
 
-// chain returns the estimate of the longest chain of steps from a step on.
-func (j *job) chain(from int) time.Duration {
-	longest := make([]time.Duration, len(j.Steps))
-	for i := len(j.Steps) - 1; i >= 0; i-- {
-		longest[i] += j.Steps[i].Estimate
-		for _, a := range j.Steps[i].After {
-			longest[a] = max(longest[a], longest[i])
-		}
-	}
-	if from > 0 {
-		return longest[from]
-	}
-	return slices.Max(longest)
+// objective returns the time in which a job should be done.
+func (c *Cell) objective(j *job) time.Duration {
+	queue, _ := c.catalogue.Queue(j.Queue)
+	chain := j.chain
+	if queue.Advice != nil {
+		chain += time.Duration(len(j.Steps)) * queue.Advice.Duration(objectiveWorkers)
+	}
+	return time.Duration(queue.Stretch*float64(chain)) + queue.Allowance
 }
 
 func (c *Cell) sortedJobs() []*job {
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -72,16 +72,18 @@
 
 // askFirst asks about all workers that could ever run a step, those with most room
 // first.
-func (c *Cell) askFirst(now time.Duration, s *step, advice workload.Advice) {
-	c.ask(now, s, advice, c.unasked(now, s))
+func (c *Cell) askFirst(now time.Duration, s *step, queue workload.Queue) {
+	if !s.tickets.waitsForAnswer(now) {
+		c.ask(now, s, *queue.Advice, c.unasked(s, queue))
+	}
 }
 
 // unasked lists the workers that no question about a step has named yet, those with
 // most room first.
-func (c *Cell) unasked(now time.Duration, s *step) []*worker {
+func (c *Cell) unasked(s *step, queue workload.Queue) []*worker {
 	var list []*worker
 	for _, w := range c.order {
-		if c.serves(s, w) && w.usable(now) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
+		if w.announced() && serves(s, queue, w) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
 			list = append(list, w)
 		}
 	}
@@ -112,7 +114,12 @@
 		return
 	}
 	t := &s.tickets
-	c.note(Note{What: "advice", Job: q.Step.Job, Task: q.Step.String(), Why: countOf(len(answered), len(q.Workers)), Age: now - t.pending})
+	asked := t.pending
+	if asked == 0 {
+		// An earlier owner asked.
+		asked = received
+	}
+	c.note(Note{What: "advice", Job: q.Step.Job, Task: q.Step.String(), Why: countOf(len(answered), len(q.Workers)), Age: now - asked})
 	t.pending, t.answered = 0, now
 	c.stale = true
 	if answered == nil {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -72,6 +72,10 @@
 	return !w.gone && !w.Draining && w.strangers == 0 && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
 }
 
+// announced reports whether a worker may be asked about: it need not have been heard
+// yet, as it will be by the time of the answer.
+func (w *worker) announced() bool { return !w.gone && !w.Draining }
+
 // WorkerSeen takes the announcement of a worker.
 func (c *Cell) WorkerSeen(now time.Duration, announced workload.Worker) {
 	w := c.workers[announced.ID]
--- a/front/host.go
+++ b/front/host.go
@@ -47,6 +47,7 @@
 	members     members
 	desk        *intake.Desk
 	questions   *ring.Ring[asked]
+	answers     answers
 	count       scheduler.Counters
 	takeovers   atomic.Int64
 	// leaving tells that the host is about to stop.
@@ -80,6 +81,7 @@
 	}
 	h.members = members{known: map[string]member{}, changed: h.connect}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
+	h.hub.Connected = h.passOn
 	h.desk = intake.NewDesk(h, log)
 	return h
 }
--- a/front/link.go
+++ b/front/link.go
@@ -127,9 +127,23 @@
 		reply.Failed, reply.Tickets = err.Error(), nil
 		h.log.WithFields(logrus.Fields{"step": q.Step.String(), "workers": len(q.Workers), "why": err.Error(), "ms": reply.Took.Milliseconds()}).Warn("front: advice not given")
 	}
+	h.answers.keep(reply)
 	h.answerAdvice(a.from, reply)
 }
 
+// passOn tells a new owner what the advice service said to its predecessors.
+func (h *Host) passOn(owner string) {
+	h.mu.Lock()
+	current, fence := h.watcher.Owner, h.watcher.Fence
+	h.mu.Unlock()
+	if owner != current {
+		return
+	}
+	for _, a := range h.answers.recent(fence) {
+		h.answerAdvice(owner, a)
+	}
+}
+
 // fence returns the fencing token of the owner as far as it is known here.
 func (h *Host) fence() int64 {
 	h.mu.Lock()
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -179,6 +179,7 @@
 	h.connect()
 	h.desk.OwnerChanged()
 	h.tell()
+	h.passOn(h.settings.Host)
 	err = o.Run(ctx, catalogue)
 	h.mu.Lock()
 	h.owner = nil
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -131,7 +131,7 @@
 	if a.Fence != o.Fence() {
 		return
 	}
-	received := clock.Now()
+	received := clock.Now() - a.Age
 	o.post(func(now time.Duration) {
 		o.desk.Answered(now, from, a.Question)
 		if a.Failed != "" {
--- a/scheduler/port.go
+++ b/scheduler/port.go
@@ -44,4 +44,6 @@
 	Failed string `cbor:"4,keyasint,omitempty"`
 	// Took is how long the service took.
 	Took time.Duration `cbor:"5,keyasint,omitempty"`
+	// Age is how long ago the answer came when it was passed on.
+	Age time.Duration `cbor:"6,keyasint,omitempty"`
 }
