--- a/front/host.go
+++ b/front/host.go
@@ -122,14 +122,15 @@
 func (h *Host) stop(servers []*http.Server) error {
 	h.log.Info("front: stopping")
 	h.leaving.Store(true)
-	h.resign()
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, h.settings.StopGrace-stopMargin))
+	defer cancel()
 	for _, s := range servers {
 		s.SetKeepAlivesEnabled(false)
 	}
 	// The balancer notices within two looks that this host isn't ready.
-	time.Sleep(balancerDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, h.settings.StopGrace-balancerDelay-stopMargin))
-	defer cancel()
+	noticed := time.After(balancerDelay)
+	h.resign(ctx)
+	<-noticed
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
 			h.log.WithError(err).Warn("front: calls were still in flight")
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -27,6 +27,8 @@
 	announceInterval = time.Second
 	// leaseWait keeps the store's answers to the watch of the lease coming.
 	leaseWait = 700 * time.Millisecond
+	// resignPoll is the pause between two looks at whether the cell is given up.
+	resignPoll = 10 * time.Millisecond
 	// linkGrace is how long the link to a new owner may take to come up.
 	linkGrace = 1500 * time.Millisecond
 	// nearBound is the longest call to a store in the same region: 4 ms for the
@@ -151,14 +153,14 @@
 		h.log.WithFields(logrus.Fields{
 			"owner": watcher.Owner, "fence": watcher.Fence, "age_ms": (now - watcher.Renewed).Milliseconds(), "linked": linked,
 		}).Info("front: taking the cell")
-		h.tenure(ctx)
+		h.tenure(ctx, watcher.Owner)
 	}
 }
 
-// tenure takes the cell and decides for it until it is lost.
-func (h *Host) tenure(ctx context.Context) {
+// tenure takes the cell from an earlier owner and decides for it until it is lost.
+func (h *Host) tenure(ctx context.Context, earlier string) {
 	takeContext, cancel := context.WithTimeout(ctx, takeTimeout)
-	l, err := ledger.Take(takeContext, h.store, cellName, h.settings.Host, h.incarnation)
+	l, err := ledger.Take(takeContext, h.store, cellName, h.settings.Host, h.incarnation, earlier)
 	cancel()
 	if err != nil {
 		h.log.WithField("why", err.Error()).Warn("front: cell not taken")
@@ -199,10 +201,14 @@
 	h.log.WithFields(logrus.Fields{"fence": l.Fence(), "why": why}).Info("front: tenure ended")
 }
 
-// resign gives the cell up if this host owns it.
-func (h *Host) resign() {
-	if o := h.owned(); o != nil {
-		o.Resign()
+// resign gives the cell up if this host owns it, and waits until it has.
+func (h *Host) resign(ctx context.Context) {
+	o := h.owned()
+	if o == nil {
+		return
+	}
+	o.Resign()
+	for h.owned() == o && timer.Sleep(ctx, resignPoll) {
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -99,17 +99,26 @@
 	renewed time.Duration
 }
 
-// Take makes the named member the owner of a cell.
-func Take(ctx context.Context, store Store, cell, owner, incarnation string) (*Ledger, error) {
+// Take makes the named member the owner of a cell, unless somebody other than the
+// earlier owner has it by now; the error is then ErrLost.
+func Take(ctx context.Context, store Store, cell, owner, incarnation, earlier string) (*Ledger, error) {
 	page, err := store.Rows(ctx, HeadTable, cell, headKey, 1)
 	if err != nil {
 		return nil, errors.Annotatef(err, "head of cell %s", cell)
 	}
 	l := &Ledger{store: store, cell: cell, owner: owner, incarnation: incarnation}
 	for _, r := range page.Rows {
-		if r.Key == headKey {
-			l.version = r.Version
+		if r.Key != headKey {
+			continue
+		}
+		var h head
+		if err := codec.Unmarshal(r.Value, &h); err != nil {
+			return nil, errors.Annotatef(err, "head of cell %s", cell)
 		}
+		if h.Owner != "" && h.Owner != earlier && h.Owner != owner {
+			return nil, errors.Annotatef(ErrLost, "cell %s was taken by %s", cell, h.Owner)
+		}
+		l.version = r.Version
 	}
 	if err := l.commit(ctx, owner, nil); err != nil {
 		return nil, errors.Annotatef(err, "taking cell %s", cell)
@@ -136,9 +145,17 @@
 	}
 }
 
-// Resign gives the cell up at once, for another member to take.
-func (l *Ledger) Resign(ctx context.Context) error {
-	return errors.Annotatef(l.commit(ctx, "", nil), "resigning cell %s", l.cell)
+// Resign records changes and gives the cell up, for another member to take.
+func (l *Ledger) Resign(ctx context.Context, changes []Change) error {
+	n := 0
+	for batch(changes[n:]) < len(changes)-n {
+		size := batch(changes[n:])
+		if err := l.commit(ctx, l.owner, changes[n:n+size]); err != nil {
+			return err
+		}
+		n += size
+	}
+	return errors.Annotatef(l.commit(ctx, "", changes[n:]), "resigning cell %s", l.cell)
 }
 
 // batch returns how many changes fit one transaction.
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,159 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/ledger"
+)
+
+// fakeStore is a store in memory. It can lose answers.
+type fakeStore struct {
+	rows    map[string]ledger.Row
+	version ledger.Version
+	// lose tells for each commit whether its answer is lost, and late holds those
+	// that are to be carried out later.
+	lose func() (lost, carriedOut bool)
+	late []ledger.Transaction
+	// sizes holds the number of rows of each transaction.
+	sizes []int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]ledger.Row{}} }
+
+func keyOf(r ledger.Row) string { return r.Table + "/" + r.Part + "/" + r.Key }
+
+func (f *fakeStore) Commit(_ context.Context, t ledger.Transaction) (ledger.Version, error) {
+	f.sizes = append(f.sizes, len(t.Expected)+len(t.Writes)+len(t.Removes))
+	if f.lose == nil {
+		return f.apply(t)
+	}
+	lost, carriedOut := f.lose()
+	if !lost {
+		return f.apply(t)
+	}
+	if carriedOut {
+		_, _ = f.apply(t)
+	} else {
+		f.late = append(f.late, t)
+	}
+	return 0, errors.New("no answer")
+}
+
+func (f *fakeStore) apply(t ledger.Transaction) (ledger.Version, error) {
+	var conflict []ledger.Row
+	for _, e := range t.Expected {
+		if f.rows[keyOf(e)].Version != e.Version {
+			conflict = append(conflict, f.rows[keyOf(e)])
+		}
+	}
+	if len(conflict) > 0 {
+		return 0, &ledger.ConflictError{Rows: conflict}
+	}
+	f.version++
+	for _, w := range t.Writes {
+		w.Version = f.version
+		f.rows[keyOf(w)] = w
+	}
+	for _, r := range t.Removes {
+		delete(f.rows, keyOf(r))
+	}
+	return f.version, nil
+}
+
+func (f *fakeStore) Rows(_ context.Context, table, part, from string, _ int) (ledger.Page, error) {
+	var page ledger.Page
+	for _, r := range f.rows {
+		if r.Table == table && r.Part == part && r.Key >= from {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page, nil
+}
+
+func (f *fakeStore) Feed(context.Context, string, ledger.Version, time.Duration) (ledger.Page, error) {
+	return ledger.Page{}, ledger.ErrHistoryGone
+}
+
+func (f *fakeStore) value(key string) string { return string(f.rows["T/C/"+key].Value) }
+
+func write(key, value string) []ledger.Change {
+	return []ledger.Change{{Writes: []ledger.Row{{Table: "T", Part: "C", Key: key, Value: []byte(value)}}}}
+}
+
+func take(t *testing.T, f *fakeStore, owner, earlier string) *ledger.Ledger {
+	l, err := ledger.Take(context.Background(), f, "C", owner, owner+"-1", earlier)
+	qt.Assert(t, err, qt.IsNil)
+	return l
+}
+
+func TestEarlierOwnerWritesNothing(t *testing.T) {
+	f := newFakeStore()
+	first := take(t, f, "a", "")
+	second := take(t, f, "b", "a")
+	qt.Assert(t, second.Fence() > first.Fence(), qt.IsTrue)
+	err := first.Append(context.Background(), write("k", "old"))
+	qt.Assert(t, errors.Is(err, ledger.ErrLost), qt.IsTrue)
+	qt.Assert(t, second.Append(context.Background(), write("k", "new")), qt.IsNil)
+	qt.Assert(t, f.value("k"), qt.Equals, "new")
+}
+
+// A host that decided to take the cell from a dead owner must not take it from the
+// host that was faster.
+func TestTakeFromTheExpectedOwnerOnly(t *testing.T) {
+	f := newFakeStore()
+	take(t, f, "a", "")
+	take(t, f, "b", "a")
+	_, err := ledger.Take(context.Background(), f, "C", "c", "c-1", "a")
+	qt.Assert(t, errors.Is(err, ledger.ErrLost), qt.IsTrue)
+}
+
+func TestLostAnswersAreSettled(t *testing.T) {
+	for _, carriedOut := range []bool{true, false} {
+		f := newFakeStore()
+		l := take(t, f, "a", "")
+		losses := 1
+		f.lose = func() (bool, bool) {
+			losses--
+			return losses >= 0, carriedOut
+		}
+		qt.Assert(t, l.Append(context.Background(), write("k", "1")), qt.IsNil)
+		qt.Assert(t, l.Append(context.Background(), write("k", "2")), qt.IsNil)
+		// What the store carries out late must find its condition spent.
+		for _, late := range f.late {
+			_, _ = f.apply(late)
+		}
+		qt.Assert(t, f.value("k"), qt.Equals, "2")
+	}
+}
+
+func TestLargeBatchesAreSplit(t *testing.T) {
+	f := newFakeStore()
+	l := take(t, f, "a", "")
+	var changes []ledger.Change
+	for i := range 250 {
+		changes = append(changes, write(fmt.Sprint(i), "v")...)
+	}
+	qt.Assert(t, l.Append(context.Background(), changes), qt.IsNil)
+	for _, size := range f.sizes {
+		qt.Assert(t, size <= 100, qt.IsTrue, qt.Commentf("%d rows", size))
+	}
+	qt.Assert(t, f.value("249"), qt.Equals, "v")
+}
+
+func TestResignRecordsAndGivesUp(t *testing.T) {
+	f := newFakeStore()
+	l := take(t, f, "a", "")
+	var changes []ledger.Change
+	for i := range 150 {
+		changes = append(changes, write(fmt.Sprint(i), "v")...)
+	}
+	qt.Assert(t, l.Resign(context.Background(), changes), qt.IsNil)
+	qt.Assert(t, f.value("149"), qt.Equals, "v")
+	take(t, f, "b", "somebody")
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -86,7 +86,9 @@
 	// commitMean is the moving mean of the length of a transaction.
 	commitMean  time.Duration
 	commitEnded atomic.Int64
-	pruned      time.Duration
+	// resigned tells that nothing may be started any more.
+	resigned bool
+	pruned   time.Duration
 	// loadTold is when the load was last logged.
 	loadTold  time.Duration
 	resigning chan struct{}
@@ -324,13 +326,15 @@
 	if err != nil {
 		return err
 	}
-	if err := o.ledger.Append(ctx, changes); err != nil {
+	effects := o.effects
+	if err := o.ledger.Resign(ctx, changes); err != nil {
 		return err
 	}
-	for _, effect := range o.effects {
+	o.resigned = true
+	for _, effect := range effects {
 		effect()
 	}
-	return o.ledger.Resign(ctx)
+	return nil
 }
 
 // prune removes final states that need not be told any more.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -243,6 +243,10 @@
 
 // start hands an order to its worker's duty, if it is still wanted.
 func (o *Owner) start(s cell.Start) {
+	if o.resigned {
+		// The next owner finds the run recorded, and the worker without it.
+		return
+	}
 	now := clock.Now()
 	d := o.duties[s.Worker.ID]
 	if d == nil || s.TicketUntil != 0 && now > s.TicketUntil || !o.cell.Wanted(s.Task, s.Run, s.Worker.ID) {
