--- a/advice/desk.go
+++ b/advice/desk.go
@@ -12,6 +12,8 @@
 	// longQuestion is the duration from which a question goes to the hosts for
 	// long ones only.
 	longQuestion = 250 * time.Millisecond
+	// longShare is the part of the hosts, in eighths, that takes long questions.
+	longShare = 5
 	// maxShort is how many short questions a host has at once: one that the service
 	// handles, and one that is on its way meanwhile.
 	maxShort = 2
@@ -99,7 +101,7 @@
 // pick returns the host that is free first for a question.
 func (d *Desk) pick(now time.Duration, q cell.Question, hosts []string) (string, bool) {
 	long := q.Expected >= longQuestion
-	forLong := (len(hosts) + 1) / 2
+	forLong := (len(hosts)*longShare + 7) / 8
 	best, found := "", false
 	for i, h := range hosts {
 		if len(hosts) > 1 && long != (i < forLong) && (long || d.hasLong(h)) {
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -30,7 +30,7 @@
 	// the store at 40 a second, and adds some 12 ms to a start on average.
 	commitPause = 25 * time.Millisecond
 	// commitWeight is the weight of the past in the mean length of a transaction.
-	commitWeight = 8
+	commitWeight = 3
 	// stallBound is how long a transaction may take before new jobs are refused.
 	stallBound = 900 * time.Millisecond
 	// stallRetry is when callers that were refused then may come back.
@@ -185,7 +185,9 @@
 			}
 			o.release()
 		}
-		o.cell.Schedule(clock.Now())
+		now := clock.Now()
+		o.cell.SetRecordDelay(o.recordDelay(now))
+		o.cell.Schedule(now)
 		o.dispatch(ctx)
 		if wait, ok := o.commitDue(ctx); ok {
 			pace.Reset(wait)
@@ -295,11 +297,19 @@
 	o.underway = nil
 }
 
-// learnDelay takes the length of a transaction. A start waits for the one under way
-// at most, and then for its own.
+// learnDelay takes the length of a transaction.
 func (o *Owner) learnDelay(length time.Duration) {
 	o.commitMean += (length - o.commitMean) / commitWeight
-	o.cell.SetRecordDelay(2*max(o.commitMean, length) + commitPause)
+}
+
+// recordDelay is how long a start that is placed now waits for its record: for the
+// rest of the transaction under way, and then for its own.
+func (o *Owner) recordDelay(now time.Duration) time.Duration {
+	delay := o.commitMean + commitPause
+	if o.committing {
+		delay += max(0, o.commitBegun+o.commitMean-now)
+	}
+	return delay
 }
 
 // stalled reports whether the store takes too long for new jobs.
