--- a/cell/gang.go
+++ b/cell/gang.go
@@ -20,7 +20,7 @@
 	number := 0
 	for _, t := range s.tasks {
 		if !t.waits(now) {
-			// Runs of an earlier try have not ended everywhere.
+			c.clearGang(now, s)
 			return true
 		}
 		number = max(number, t.run)
@@ -40,6 +40,17 @@
 	return true
 }
 
+// clearGang stops what is left of a gang whose other members have ended, also under
+// an earlier owner. Nothing of it starts before all of it has ended.
+func (c *Cell) clearGang(now time.Duration, s *step) {
+	if !slices.ContainsFunc(s.tasks, func(t *taskRecord) bool { return len(t.runs) == 0 }) {
+		return
+	}
+	for _, t := range s.tasks {
+		c.withdrawAll(now, s, t, "other members of the gang have ended")
+	}
+}
+
 // planGang returns a worker for each task, or nil if not all fit. A gang that
 // should share a rack is planned in one rack, if one can take it.
 func planGang(s *step, list []*worker, held map[string]task.Size) []*worker {
--- /dev/null
+++ b/cell/property_test.go
@@ -0,0 +1,503 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/workload"
+	"pgregory.net/rapid"
+)
+
+// trial plays a cell among workers that obey the users' rules, and owners that are
+// replaced, under random orders, losses and delays.
+type trial struct {
+	t       *rapid.T
+	cell    *cell.Cell
+	now     time.Duration
+	fence   int
+	workers []*trialWorker
+	jobs    map[string]*trialJob
+	// delayed holds orders to start that have had no answer yet.
+	delayed []delayedStart
+	next    int
+	// history tells what happened, for a failure.
+	history []string
+}
+
+func (tr *trial) note(format string, arguments ...any) {
+	tr.history = append(tr.history, fmt.Sprintf("%s fence %d: ", tr.now, tr.fence)+fmt.Sprintf(format, arguments...))
+}
+
+// fail ends the trial with what happened to a job.
+func (tr *trial) fail(job, format string, arguments ...any) {
+	for _, line := range tr.history {
+		if strings.Contains(line, job) || strings.Contains(line, "*") {
+			tr.t.Log(line)
+		}
+	}
+	tr.t.Fatalf(format, arguments...)
+}
+
+type trialWorker struct {
+	workload.Worker
+	fence   int
+	until   time.Duration
+	runs    map[workload.TaskID]int
+	refused map[workload.TaskID]int
+	ended   []cell.Ended
+	// void is the last end before the lease has ended; it is never taken note of.
+	void   int64
+	number int64
+	down   bool
+	cut    bool
+}
+
+type trialJob struct {
+	workload.Job
+	progress  cell.Progress
+	state     workload.State
+	cancelled bool
+	// ended holds the tasks that have ended done, done those of which that was
+	// taken note of before the worker's lease had ended.
+	ended  map[workload.TaskID]bool
+	done   map[workload.TaskID]bool
+	failed map[workload.TaskID]int
+}
+
+type delayedStart struct {
+	cell.Start
+	at, until time.Duration
+	fence     int
+	life      int64
+}
+
+func newTrial(t *rapid.T) *trial {
+	tr := &trial{t: t, now: time.Hour, jobs: map[string]*trialJob{}}
+	for i := range 4 {
+		tr.workers = append(tr.workers, &trialWorker{
+			Worker: workload.Worker{ID: fmt.Sprintf("w%d", i), Service: "S", Address: "x", Life: 1, Labels: []string{"a", fmt.Sprintf("r%d", i/2)},
+				Capacity: task.Size{Processors: 8 * task.Processor, Memory: 10 * task.Gibibyte}},
+			runs: map[workload.TaskID]int{}, refused: map[workload.TaskID]int{},
+		})
+	}
+	tr.takeOver()
+	return tr
+}
+
+// takeOver begins a new owner with what the one before has recorded.
+func (tr *trial) takeOver() {
+	tr.fence++
+	tr.note("* new owner")
+	tr.cell = cell.New(options())
+	tr.cell.SetCatalogue(catalogue())
+	for _, w := range tr.workers {
+		if !w.down {
+			tr.cell.WorkerSeen(tr.now, w.Worker)
+		}
+	}
+	tr.cell.Tick(tr.now, tr.now.Milliseconds())
+	for _, id := range tr.jobIDs() {
+		if j := tr.jobs[id]; !j.state.Final() {
+			tr.cell.Restore(tr.now, tr.now, j.Job, j.progress)
+		}
+	}
+}
+
+func (tr *trial) jobIDs() []string {
+	ids := make([]string, 0, len(tr.jobs))
+	for id := range tr.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// settle lets the cell decide, records what it changes and carries its orders out.
+func (tr *trial) settle() {
+	tr.cell.Schedule(tr.now)
+	for range 20 {
+		actions, changes, notes := tr.cell.Take()
+		for _, n := range notes {
+			tr.note("%+v", n)
+		}
+		for _, c := range changes {
+			tr.record(c)
+		}
+		for _, s := range actions.Starts {
+			tr.send(s)
+		}
+		for _, s := range actions.Stops {
+			tr.stop(s)
+		}
+		for _, q := range actions.Questions {
+			tickets := map[string]string{}
+			for _, id := range q.Workers {
+				tickets[id] = "T"
+			}
+			tr.cell.Advised(tr.now, tr.now, q, tickets)
+		}
+		if len(actions.Starts)+len(actions.Stops)+len(actions.Questions) == 0 {
+			return
+		}
+		tr.cell.Schedule(tr.now)
+	}
+}
+
+func (tr *trial) record(c cell.Change) {
+	j := tr.jobs[c.Job.ID]
+	j.progress, j.state = c.Progress, c.Progress.State
+	if j.state == workload.Done {
+		for step, s := range j.Steps {
+			for i := range s.Tasks {
+				id := workload.TaskID{StepID: workload.StepID{Job: j.ID, Step: step}, Index: i}
+				if !j.ended[id] {
+					tr.fail(j.ID, "MIXED: %s is done and task %s is not", j.ID, id)
+				}
+			}
+		}
+	}
+}
+
+func (j *trialJob) anyDone(step int) bool {
+	for id := range j.done {
+		if id.Step == step {
+			return true
+		}
+	}
+	return false
+}
+
+// send carries out an order to start, or loses it or its answer.
+func (tr *trial) send(s cell.Start) {
+	w := tr.worker(s.Worker.ID)
+	tr.cell.Granted(tr.now, w.ID)
+	order := delayedStart{Start: s, until: tr.now + options().StartLease, fence: tr.fence, life: w.Life}
+	switch rapid.IntRange(0, 11).Draw(tr.t, "order") {
+	case 0:
+		order.at = tr.now + time.Duration(rapid.IntRange(0, 5000).Draw(tr.t, "delay"))*ms
+		tr.delayed = append(tr.delayed, order)
+		tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.NoAnswer)
+	case 1:
+		tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.Unwell)
+	case 2:
+		tr.carryOut(order)
+		tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.NoAnswer)
+	default:
+		if w.down || w.cut {
+			tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.NoAnswer)
+			return
+		}
+		if tr.carryOut(order) {
+			tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.Accepted)
+		} else {
+			tr.cell.Answered(tr.now, s.Task, s.Run, w.ID, cell.Superseded)
+		}
+	}
+}
+
+// carryOut starts a run as a worker would, and checks that it may.
+func (tr *trial) carryOut(s delayedStart) bool {
+	w := tr.worker(s.Worker.ID)
+	if w.down || w.cut || s.life != w.Life || s.fence < w.fence || tr.now > s.until || s.Run <= w.refused[s.Task] {
+		return false
+	}
+	w.fence = s.fence
+	w.until = max(w.until, s.until)
+	if run, ok := w.runs[s.Task]; ok {
+		return run == s.Run
+	}
+	tr.note("%s run %d starts on %s life %d", s.Task, s.Run, w.ID, w.Life)
+	tr.check(w, s)
+	w.runs[s.Task] = s.Run
+	return true
+}
+
+func (tr *trial) check(w *trialWorker, s delayedStart) {
+	j := tr.jobs[s.Task.Job]
+	step := j.Steps[s.Task.Step]
+	for _, other := range tr.workers {
+		if _, ok := other.runs[s.Task]; ok && !other.down {
+			tr.fail(s.Task.Job, "TWICE: %s starts on %s and runs on %s", s.Task, w.ID, other.ID)
+		}
+	}
+	if j.done[s.Task] || step.Gang && j.anyDone(s.Task.Step) {
+		tr.fail(s.Task.Job, "TWICE: %s starts and is done", s.Task)
+	}
+	used := step.Size
+	for id := range w.runs {
+		used = used.Plus(tr.jobs[id.Job].Steps[id.Step].Size)
+	}
+	if !used.Fits(w.Capacity) {
+		tr.t.Fatalf("LIMIT: %s has %s of %s", w.ID, used, w.Capacity)
+	}
+	queue, _ := catalogue().Queue(j.Queue)
+	if j.failed[s.Task] >= queue.Attempts {
+		tr.fail(s.Task.Job, "BUDGET: %s starts after %d failures", s.Task, j.failed[s.Task])
+	}
+	for _, a := range step.After {
+		for i := range j.Steps[a].Tasks {
+			id := workload.TaskID{StepID: workload.StepID{Job: j.ID, Step: a}, Index: i}
+			if !j.ended[id] {
+				tr.fail(s.Task.Job, "ORDER: %s starts before %s is done", s.Task, id)
+			}
+		}
+	}
+	if step.MaxPerWorker > 0 {
+		n := 1
+		for id := range w.runs {
+			if id.StepID == s.Task.StepID {
+				n++
+			}
+		}
+		if n > step.MaxPerWorker {
+			tr.t.Fatalf("ROUTE: %d tasks of a step on %s", n, w.ID)
+		}
+	}
+}
+
+func (tr *trial) stop(s cell.Stop) {
+	w := tr.worker(s.Worker.ID)
+	if w.down || w.cut || tr.fence < w.fence || rapid.IntRange(0, 5).Draw(tr.t, "stop") == 0 {
+		tr.cell.StopAnswered(tr.now, s.Task, s.Run, w.ID, cell.NoAnswer)
+		return
+	}
+	w.fence = tr.fence
+	w.refused[s.Task] = max(w.refused[s.Task], s.Run)
+	if run, ok := w.runs[s.Task]; ok && run == s.Run {
+		tr.end(w, s.Task, cell.EndedStopped)
+	}
+	tr.cell.StopAnswered(tr.now, s.Task, s.Run, w.ID, cell.Accepted)
+}
+
+// end ends a run; the truth of it counts at once.
+func (tr *trial) end(w *trialWorker, id workload.TaskID, how cell.Ending) {
+	run := w.runs[id]
+	if how == cell.EndedDone {
+		tr.jobs[id.Job].ended[id] = true
+	}
+	tr.note("%s run %d ends on %s: %s", id, run, w.ID, how)
+	delete(w.runs, id)
+	w.refused[id] = max(w.refused[id], run)
+	w.number++
+	w.ended = append(w.ended, cell.Ended{Number: w.number, Task: id, Run: run, How: how})
+}
+
+func (tr *trial) worker(id string) *trialWorker {
+	for _, w := range tr.workers {
+		if w.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// report lets a worker report; what it says of ends counts as taken note of.
+func (tr *trial) report(w *trialWorker) {
+	if w.down || w.cut {
+		return
+	}
+	w.fence = tr.fence
+	w.until = max(w.until, tr.now+options().Lease)
+	tr.cell.Granted(tr.now, w.ID)
+	r := cell.Report{Life: w.Life, Complete: true, Ended: slices.Clone(w.ended)}
+	for _, id := range sortedTasks(w.runs) {
+		r.Running = append(r.Running, cell.Running{Task: id, Run: w.runs[id], Percent: float64(tr.now.Milliseconds() % 97)})
+	}
+	for _, e := range w.ended {
+		j := tr.jobs[e.Task.Job]
+		if e.Number <= w.void {
+			continue
+		}
+		switch e.How {
+		case cell.EndedDone:
+			j.done[e.Task] = true
+		case cell.EndedFailed:
+			j.failed[e.Task]++
+		}
+	}
+	tr.note("* %s reports %v %v", w.ID, r.Running, r.Ended)
+	tr.cell.Heard(tr.now, tr.now, w.ID, r)
+	tr.settle()
+	w.ended = nil
+}
+
+func sortedTasks(runs map[workload.TaskID]int) []workload.TaskID {
+	var ids []workload.TaskID
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b workload.TaskID) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return ids
+}
+
+// advance lets time pass: leases end, and delayed orders are carried out.
+func (tr *trial) advance(length time.Duration) {
+	tr.now += length
+	for _, w := range tr.workers {
+		if tr.now > w.until {
+			for _, id := range sortedTasks(w.runs) {
+				tr.end(w, id, cell.EndedLapsed)
+			}
+			w.void = w.number
+		}
+	}
+	var rest []delayedStart
+	for _, d := range tr.delayed {
+		if d.at <= tr.now {
+			tr.carryOut(d)
+		} else {
+			rest = append(rest, d)
+		}
+	}
+	tr.delayed = rest
+	tr.cell.Tick(tr.now, tr.now.Milliseconds())
+	tr.settle()
+}
+
+func (tr *trial) submit() {
+	tr.next++
+	queue := rapid.SampledFrom([]string{"Plain", "Advised", "Twice"}).Draw(tr.t, "queue")
+	j := workload.Job{ID: id(tr.next), Queue: queue, Accepted: tr.now.Milliseconds()}
+	for i := range rapid.IntRange(1, 2).Draw(tr.t, "steps") {
+		s := workload.Step{
+			Tasks: rapid.IntRange(1, 5).Draw(tr.t, "tasks"), Estimate: second, Gang: rapid.Bool().Draw(tr.t, "gang"),
+			Size:         task.Size{Processors: int64(rapid.IntRange(1, 4).Draw(tr.t, "processors")) * task.Processor, Memory: task.Gibibyte},
+			MaxPerWorker: 2 * rapid.IntRange(0, 1).Draw(tr.t, "most"), SameRack: rapid.Bool().Draw(tr.t, "rack"),
+		}
+		if i > 0 {
+			s.After = []int{0}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	tr.jobs[j.ID] = &trialJob{Job: j, state: workload.Queued, ended: map[workload.TaskID]bool{}, done: map[workload.TaskID]bool{}, failed: map[workload.TaskID]int{}}
+	tr.cell.Submit(tr.now, j)
+	tr.settle()
+}
+
+func (tr *trial) endSome() {
+	w := rapid.SampledFrom(tr.workers).Draw(tr.t, "worker")
+	how := rapid.SampledFrom([]cell.Ending{cell.EndedDone, cell.EndedDone, cell.EndedFailed}).Draw(tr.t, "how")
+	for _, id := range sortedTasks(w.runs) {
+		if !tr.jobs[id.Job].Steps[id.Step].Gang || how == cell.EndedFailed {
+			tr.end(w, id, how)
+			return
+		}
+		tr.endGang(id)
+		return
+	}
+}
+
+// endGang ends a gang as done if all its tasks run. What a crash keeps from being
+// reported was not taken note of.
+func (tr *trial) endGang(member workload.TaskID) {
+	step := tr.jobs[member.Job].Steps[member.Step]
+	on := map[workload.TaskID]*trialWorker{}
+	for i := range step.Tasks {
+		id := member
+		id.Index = i
+		for _, w := range tr.workers {
+			if _, ok := w.runs[id]; ok {
+				on[id] = w
+			}
+		}
+	}
+	if len(on) < step.Tasks {
+		return
+	}
+	for i := range step.Tasks {
+		id := member
+		id.Index = i
+		w := on[id]
+		tr.end(w, id, cell.EndedDone)
+	}
+}
+
+func (tr *trial) act() {
+	w := rapid.SampledFrom(tr.workers).Draw(tr.t, "worker")
+	switch rapid.IntRange(0, 15).Draw(tr.t, "act") {
+	case 0, 1:
+		tr.submit()
+	case 2:
+		tr.takeOver()
+		tr.settle()
+	case 3:
+		w.cut = !w.cut
+		tr.note("* %s cut: %v", w.ID, w.cut)
+	case 4:
+		tr.reborn(w)
+	case 5:
+		if ids := tr.jobIDs(); len(ids) > 0 {
+			tr.cell.Cancel(tr.now, rapid.SampledFrom(ids).Draw(tr.t, "job"))
+			tr.settle()
+		}
+	case 6, 7, 8:
+		tr.endSome()
+	case 9, 10:
+		tr.advance(time.Duration(rapid.IntRange(10, 3000).Draw(tr.t, "length")) * ms)
+	default:
+		tr.report(w)
+	}
+}
+
+// reborn lets a worker crash and start again under its name.
+func (tr *trial) reborn(w *trialWorker) {
+	tr.note("* %s is reborn", w.ID)
+	w.Life++
+	w.fence, w.number, w.until, w.void = 0, 0, 0, 0
+	w.runs, w.refused, w.ended = map[workload.TaskID]int{}, map[workload.TaskID]int{}, nil
+	tr.cell.WorkerSeen(tr.now, w.Worker)
+	tr.settle()
+}
+
+// The rules TWICE, LIMIT, ORDER, BUDGET, ROUTE and MIXED hold under random orders,
+// losses and delays of all events, with workers that are cut off and reborn and
+// owners that are replaced.
+func TestRulesUnderRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := newTrial(t)
+		for range rapid.IntRange(20, 150).Draw(t, "events") {
+			tr.act()
+		}
+	})
+}
+
+// Whatever has happened, all jobs come to an end once the trouble is over.
+func TestAllJobsEndAfterTrouble(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := newTrial(t)
+		for range rapid.IntRange(10, 60).Draw(t, "events") {
+			tr.act()
+		}
+		for _, w := range tr.workers {
+			w.cut = false
+		}
+		for range 400 {
+			tr.advance(500 * ms)
+			for _, w := range tr.workers {
+				tr.report(w)
+				for _, id := range sortedTasks(w.runs) {
+					if tr.jobs[id.Job].Steps[id.Step].Gang {
+						tr.endGang(id)
+					} else {
+						tr.end(w, id, cell.EndedDone)
+					}
+				}
+			}
+		}
+		for _, id := range tr.jobIDs() {
+			if j := tr.jobs[id]; !j.state.Final() {
+				tr.fail(id, "LOST: job %s is %s: %+v", id, j.state, j.Job)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/front/cell_test.go
@@ -0,0 +1,361 @@
+package front_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cli"
+	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+// TestMain lets the test program stand for the real one, so that hosts can be
+// processes that are killed.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "front" {
+		os.Exit(cli.Run(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// deployment is a cell of real processes among stand-ins.
+type deployment struct {
+	t       *testing.T
+	rows    *platformstandin.Rows
+	floor   *workerstandin.Floor
+	runners []*workerstandin.Runner
+	hosts   []*hostProcess
+}
+
+// hostProcess is an entry host.
+type hostProcess struct {
+	name, ip, settings string
+	command            *exec.Cmd
+	output             bytes.Buffer
+	done               chan struct{}
+}
+
+const (
+	callerPort = 18161
+	readyPort  = 18167
+	peerPort   = 17720
+	deadline   = 20 * time.Second
+)
+
+// networks counts the deployments of this process, each of which has addresses of
+// its own.
+var networks struct {
+	sync.Mutex
+	n int
+}
+
+// deploy starts hosts and workers of 8 processors whose tasks take 2 for a while.
+func deploy(t *testing.T, hosts, workers int, length time.Duration) *deployment {
+	networks.Lock()
+	networks.n++
+	net1, net2 := 10+os.Getpid()%200, networks.n
+	networks.Unlock()
+	d := &deployment{t: t, rows: platformstandin.NewRows(), floor: &workerstandin.Floor{}}
+	store := httptest.NewServer(d.rows.Handler())
+	advisor := httptest.NewServer(workerstandin.Advisor())
+	t.Cleanup(store.CloseClientConnections)
+	d.rows.Put("op", "config", []byte(`{"version":1,"routes":[
+		{"name":"plain","host":"a.example","path_prefix":"/plain/","timeout_ms":3000,"slo_ms":500,"service":"s","attempts":3,"stretch":2},
+		{"name":"advised","host":"a.example","path_prefix":"/advised/","timeout_ms":3000,"slo_ms":500,"service":"s","attempts":3,"stretch":2,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":2000}}],
+		"services":[{"name":"s"}]}`))
+	for i := range workers {
+		d.addWorker(i, length)
+	}
+	for i := range hosts {
+		h := &hostProcess{name: fmt.Sprintf("h%d", i), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+1)}
+		h.settings = filepath.Join(t.TempDir(), "settings.json")
+		content, err := json.Marshal(map[string]any{
+			"node": h.name, "zone": "z", "region": "r", "ip": h.ip, "port_range": []int{peerPort, peerPort + 15},
+			"listen":    map[string]string{"front": fmt.Sprintf("%s:%d", h.ip, callerPort), "ready": fmt.Sprintf("%s:%d", h.ip, readyPort)},
+			"limits":    map[string]any{"memory_mb": 284},
+			"platform":  map[string]any{"addr": strings.TrimPrefix(store.URL, "http://"), "form": "table", "row_bytes": 65536},
+			"advice":    strings.TrimPrefix(advisor.URL, "http://"),
+			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120},
+			"cloud_api": map[string]any{}, "orders": "call", "heartbeat_ms": 1500,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, os.WriteFile(h.settings, content, 0o600), qt.IsNil)
+		d.hosts = append(d.hosts, h)
+		d.start(h)
+	}
+	t.Cleanup(func() {
+		for _, h := range d.hosts {
+			h.kill()
+			if t.Failed() {
+				t.Logf("log of %s:\n%s", h.name, h.output.String())
+			}
+		}
+	})
+	d.await("an owner", func() bool { return d.owner() != nil })
+	return d
+}
+
+func (d *deployment) addWorker(i int, length time.Duration) {
+	r := &workerstandin.Runner{ID: fmt.Sprintf("w%d", i), Capacity: 8000, Size: 2000, Floor: d.floor, Length: length}
+	r.Start()
+	server := httptest.NewServer(r.Handler())
+	d.t.Cleanup(server.CloseClientConnections)
+	d.runners = append(d.runners, r)
+	d.rows.Put("servers", r.ID, []byte(fmt.Sprintf(
+		`{"service":"s","addr":%q,"zone":"z","slots":8,"state":"ready","capacity":{"cpu":8000,"mem_mb":8000},"labels":["a","r1"],"born":%d,"seq":1}`,
+		strings.TrimPrefix(server.URL, "http://"), time.Now().UnixMilli())))
+}
+
+func (d *deployment) start(h *hostProcess) {
+	h.command = exec.Command(os.Args[0], "front")
+	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
+	h.command.Stdout, h.command.Stderr = &h.output, &h.output
+	qt.Assert(d.t, h.command.Start(), qt.IsNil)
+	done := make(chan struct{})
+	h.done = done
+	go func() {
+		_ = h.command.Wait()
+		close(done)
+	}()
+}
+
+func (h *hostProcess) kill() {
+	// It may have ended before.
+	_ = h.command.Process.Kill()
+	<-h.done
+}
+
+// owner returns the host that owns the cell, or nil.
+func (d *deployment) owner() *hostProcess {
+	for _, h := range d.hosts {
+		var dump struct{ Owns bool }
+		r, err := http.Get(fmt.Sprintf("http://%s:9464/dump", h.ip))
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(r.Body).Decode(&dump)
+		_ = r.Body.Close()
+		if err == nil && dump.Owns {
+			return h
+		}
+	}
+	return nil
+}
+
+// other returns a host that is not the given one.
+func (d *deployment) other(not *hostProcess) *hostProcess {
+	for _, h := range d.hosts {
+		if h != not {
+			return h
+		}
+	}
+	return nil
+}
+
+func (d *deployment) await(what string, holds func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	d.t.Fatalf("%s: not within %s", what, deadline)
+}
+
+// call makes a call as a caller, and returns the status or 0.
+func (d *deployment) call(h *hostProcess, method, path, body string) (int, string) {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", h.ip, callerPort, path), strings.NewReader(body))
+	qt.Assert(d.t, err, qt.IsNil)
+	request.Host = "a.example"
+	request.Header.Set("Timeout-Ms", "3000")
+	r, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer r.Body.Close()
+	content, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(content)
+}
+
+func jobBody(tasks int) string {
+	return fmt.Sprintf(`{"spec":"x","steps":[{"replicas":%d,"cpu":2000,"mem_mb":100,"estimate_ms":300}]}`, tasks)
+}
+
+func path(queue string, n int) string { return fmt.Sprintf("/%s/%016x", queue, n) }
+
+// submit hands a job in until it is accepted, as a caller that tries again would.
+func (d *deployment) submit(h *hostProcess, queue string, n, tasks int) {
+	d.t.Helper()
+	d.await(fmt.Sprintf("job %d accepted", n), func() bool {
+		status, _ := d.call(h, http.MethodPost, path(queue, n), jobBody(tasks))
+		return status == http.StatusOK
+	})
+}
+
+// awaitDone waits until jobs are done, and checks that nothing ran that must not.
+func (d *deployment) awaitDone(h *hostProcess, queue string, from, to int) {
+	d.t.Helper()
+	for n := from; n < to; n++ {
+		d.await(fmt.Sprintf("job %d done", n), func() bool {
+			_, body := d.call(h, http.MethodGet, path(queue, n), "")
+			return strings.Contains(body, `"done"`)
+		})
+	}
+	qt.Assert(d.t, d.floor.Faults(), qt.HasLen, 0)
+}
+
+func TestCalmPath(t *testing.T) {
+	d := deploy(t, 3, 4, 200*time.Millisecond)
+	for n := range 20 {
+		queue := []string{"plain", "advised"}[n%2]
+		d.submit(d.hosts[n%3], queue, n, 3)
+	}
+	// A repeat stays one job.
+	d.submit(d.hosts[0], "plain", 0, 3)
+	for n := range 20 {
+		d.awaitDone(d.hosts[(n+1)%3], []string{"plain", "advised"}[n%2], n, n+1)
+	}
+	qt.Assert(t, d.floor.Starts(), qt.Equals, 60)
+	status, _ := d.call(d.hosts[0], http.MethodGet, path("plain", 999), "")
+	qt.Assert(t, status, qt.Equals, http.StatusGone)
+	status, _ = d.call(d.hosts[0], http.MethodPost, "/none/0000000000000001", jobBody(1))
+	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
+	status, _ = d.call(d.hosts[0], http.MethodPost, path("plain", 1000), `{"steps":[{"replicas":-1}]}`)
+	qt.Assert(t, status, qt.Equals, http.StatusBadRequest)
+}
+
+func TestCancelStopsWork(t *testing.T) {
+	d := deploy(t, 2, 2, 30*time.Second)
+	d.submit(d.hosts[0], "plain", 1, 4)
+	d.await("work begun", func() bool { return d.floor.Starts() == 4 })
+	status, _ := d.call(d.hosts[1], http.MethodDelete, path("plain", 1), "")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	_, body := d.call(d.hosts[0], http.MethodGet, path("plain", 1), "")
+	qt.Assert(t, strings.TrimSpace(body), qt.Equals, `{"state":"cancelled"}`)
+	d.submit(d.hosts[0], "plain", 2, 8)
+	d.await("room is free", func() bool { return d.floor.Starts() == 12 })
+}
+
+// The owner is killed, and loses nothing and doubles nothing.
+func TestOwnerKilled(t *testing.T) {
+	d := deploy(t, 3, 4, 700*time.Millisecond)
+	for n := range 10 {
+		d.submit(d.hosts[n%3], "advised", n, 4)
+	}
+	owner := d.owner()
+	owner.kill()
+	other := d.other(owner)
+	begun := time.Now()
+	d.submit(other, "plain", 100, 1)
+	t.Logf("accepted %s after the kill", time.Since(begun))
+	qt.Assert(t, time.Since(begun) < 5*time.Second, qt.IsTrue)
+	d.awaitDone(other, "advised", 0, 10)
+	d.awaitDone(other, "plain", 100, 101)
+}
+
+// All hosts are killed at once, and come back.
+func TestAllHostsKilled(t *testing.T) {
+	d := deploy(t, 3, 4, 700*time.Millisecond)
+	for n := range 10 {
+		d.submit(d.hosts[n%3], "plain", n, 4)
+	}
+	for _, h := range d.hosts {
+		h.kill()
+	}
+	for _, h := range d.hosts {
+		d.start(h)
+	}
+	d.await("an owner", func() bool { return d.owner() != nil })
+	d.awaitDone(d.hosts[0], "plain", 0, 10)
+}
+
+// The owner stops gracefully: each call gets a whole answer.
+func TestGracefulStop(t *testing.T) {
+	d := deploy(t, 3, 4, 200*time.Millisecond)
+	owner := d.owner()
+	stop := make(chan struct{})
+	failed := make(chan int, 1000)
+	go func() {
+		defer close(failed)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if status, _ := d.call(d.other(owner), http.MethodPost, path("plain", n), jobBody(1)); status != http.StatusOK {
+				failed <- status
+			}
+		}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, owner.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	select {
+	case <-owner.done:
+	case <-time.After(6 * time.Second):
+		t.Fatal("the host did not stop within its grace")
+	}
+	close(stop)
+	for status := range failed {
+		t.Errorf("a call ended with status %d", status)
+	}
+	qt.Assert(t, owner.command.ProcessState.ExitCode(), qt.Equals, 0)
+	qt.Assert(t, d.floor.Faults(), qt.HasLen, 0)
+}
+
+// The store answers nobody for 3 s: new jobs are refused soon, with a time to come
+// back, and all goes on when it is back.
+func TestStoreDown(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.submit(d.hosts[0], "plain", 1, 2)
+	d.rows.Set(func(f *platformstandin.RowFaults) { f.Down = true })
+	time.Sleep(1500 * time.Millisecond)
+	begun := time.Now()
+	status, _ := d.call(d.hosts[0], http.MethodPost, path("plain", 2), jobBody(2))
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, time.Since(begun) < 200*time.Millisecond, qt.IsTrue)
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, d.floor.Starts(), qt.Equals, 2)
+	d.rows.Set(func(f *platformstandin.RowFaults) { f.Down = false })
+	d.submit(d.hosts[1], "plain", 3, 2)
+	d.awaitDone(d.hosts[1], "plain", 1, 2)
+	d.awaitDone(d.hosts[1], "plain", 3, 4)
+}
+
+// Answers of the store are lost, and its history is dropped.
+func TestStoreLosesAnswersAndHistory(t *testing.T) {
+	d := deploy(t, 2, 4, 200*time.Millisecond)
+	for n := range 10 {
+		d.rows.Set(func(f *platformstandin.RowFaults) { f.LoseAnswers = n % 3 })
+		d.rows.Forget()
+		d.submit(d.hosts[n%2], "plain", n, 2)
+	}
+	d.awaitDone(d.hosts[0], "plain", 0, 10)
+	qt.Assert(t, d.floor.Starts(), qt.Equals, 20)
+}
+
+// A worker is silent and runs on: its tasks start elsewhere only once its lease
+// has ended.
+func TestSilentWorker(t *testing.T) {
+	d := deploy(t, 2, 2, 8*time.Second)
+	d.submit(d.hosts[0], "plain", 1, 6)
+	d.await("work begun", func() bool { return d.floor.Starts() == 6 })
+	d.runners[0].Silence(true)
+	d.await("work of the silent worker goes on", func() bool { return d.floor.Starts() > 6 })
+	d.awaitDone(d.hosts[0], "plain", 1, 2)
+}
--- /dev/null
+++ b/platformstandin/rows.go
@@ -0,0 +1,222 @@
+package platformstandin
+
+import (
+	"cmp"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// RowFaults tells how the users' store misbehaves. The zero value is no fault.
+type RowFaults struct {
+	// Down makes it answer 503 without any effect.
+	Down bool
+	// Refused holds the addresses of hosts that are answered so, without a port.
+	Refused []string
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers is how many transactions to come are carried out without an
+	// answer.
+	LoseAnswers int
+}
+
+// Rows is a stand-in of the users' store, in memory, that speaks their published
+// protocol. Use NewRows to make one.
+type Rows struct {
+	mu      sync.Mutex
+	rows    map[rowKey]wireRow
+	version int64
+	// history holds all changes in order, oldest is the last that was dropped.
+	history []wireRow
+	oldest  int64
+	changed chan struct{}
+	faults  RowFaults
+	begun   time.Time
+}
+
+type rowKey struct{ table, part, key string }
+
+type wireRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   string `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func (r wireRow) id() rowKey { return rowKey{r.Table, r.Part, r.Key} }
+
+// NewRows returns an empty store.
+func NewRows() *Rows {
+	return &Rows{rows: map[rowKey]wireRow{}, changed: make(chan struct{}), begun: time.Now()}
+}
+
+// Set changes the faults.
+func (s *Rows) Set(change func(f *RowFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// Put writes a row as the operator or a worker would.
+func (s *Rows) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]wireRow{{Table: table, Key: key, Value: encode(value)}}, nil)
+}
+
+// Remove drops a row as the platform would.
+func (s *Rows) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(nil, []wireRow{{Table: table, Key: key}})
+}
+
+// Forget drops the history, so that feeds end.
+func (s *Rows) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+// Handler returns the interface of the store.
+func (s *Rows) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(s.misbehave)
+	r.Post("/vanillaquay/rows-tx", s.transact)
+	r.Get("/vanillaquay/rows-get", s.get)
+	r.Get("/vanillaquay/rows-feed", s.feed)
+	return r
+}
+
+func (s *Rows) misbehave(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		time.Sleep(f.Delay)
+		if f.Down || slices.Contains(f.Refused, host) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Rows) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expected []wireRow `json:"expected"`
+		Writes   []wireRow `json:"writes"`
+		Remove   []wireRow `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expected)+len(t.Writes)+len(t.Remove) > 100 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var conflict []wireRow
+	for _, e := range t.Expected {
+		if now := s.rows[e.id()]; now.Ver != e.Ver {
+			conflict = append(conflict, now)
+		}
+	}
+	if len(conflict) > 0 {
+		s.answer(w, http.StatusPreconditionFailed, conflict, false)
+		return
+	}
+	s.apply(t.Writes, t.Remove)
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, http.StatusOK, nil, false)
+}
+
+// apply carries out a transaction.
+func (s *Rows) apply(writes, removes []wireRow) {
+	s.version++
+	for _, row := range writes {
+		row.Ver = s.version
+		s.rows[row.id()] = row
+		s.history = append(s.history, row)
+	}
+	for _, row := range removes {
+		delete(s.rows, row.id())
+		row.Ver, row.Deleted, row.Value = s.version, true, ""
+		s.history = append(s.history, row)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Rows) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit > 500 {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []wireRow
+	for key, row := range s.rows {
+		if key.table == q.Get("table") && key.part == q.Get("part") && key.key >= q.Get("from") {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b wireRow) int { return cmp.Compare(a.Key, b.Key) })
+	s.answer(w, http.StatusOK, rows[:min(len(rows), limit)], len(rows) > limit)
+}
+
+func (s *Rows) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var rows []wireRow
+		for _, row := range s.history {
+			if row.Ver > after && row.Table == q.Get("table") {
+				rows = append(rows, row)
+			}
+		}
+		changed := s.changed
+		if len(rows) > 0 {
+			s.answer(w, http.StatusOK, rows, false)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-deadline:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, nil, false)
+			s.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (s *Rows) answer(w http.ResponseWriter, status int, rows []wireRow, more bool) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": more, "ver": s.version, "now_ms": time.Since(s.begun).Milliseconds()})
+}
--- /dev/null
+++ b/workerstandin/runner.go
@@ -0,0 +1,257 @@
+package workerstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Runner is a stand-in of a worker that speaks the users' published protocol: it
+// runs tasks by sleeping. The size of a task stands in its specification.
+type Runner struct {
+	// ID names the worker, and Capacity is its processors in thousandths.
+	ID       string
+	Capacity int64
+	Floor    *Floor
+	// Length is how long a task takes, and Size what it takes, in thousandths of
+	// a processor.
+	Length time.Duration
+	Size   int64
+
+	mu      sync.Mutex
+	begun   time.Time
+	fence   int64
+	until   time.Time
+	runs    map[string]*runnerRun
+	ended   []runnerEnd
+	number  int64
+	changed chan struct{}
+	silent  bool
+	// refused holds the highest run of each task that must not start here.
+	refused map[string]int
+}
+
+type runnerRun struct {
+	run     int
+	started time.Time
+	timer   *time.Timer
+}
+
+type runnerEnd struct {
+	number int64
+	task   string
+	run    int
+	how    string
+}
+
+// Start makes the worker ready.
+func (r *Runner) Start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun, r.until = time.Now(), time.Now()
+	r.runs, r.refused, r.changed = map[string]*runnerRun{}, map[string]int{}, make(chan struct{})
+}
+
+// Silence makes the worker answer nothing, or speak again.
+func (r *Runner) Silence(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+}
+
+// Handler returns the interface of the worker.
+func (r *Runner) Handler() http.Handler {
+	m := chi.NewRouter()
+	m.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			r.mu.Lock()
+			silent := r.silent
+			r.mu.Unlock()
+			if silent {
+				<-q.Context().Done()
+				return
+			}
+			next.ServeHTTP(w, q)
+		})
+	})
+	m.Post("/vanillaquay/run-start", r.start)
+	m.Post("/vanillaquay/run-stop", r.stop)
+	m.Post("/vanillaquay/hold", r.hold)
+	return m
+}
+
+type runnerOrder struct {
+	Task    string `json:"task"`
+	Run     int    `json:"run"`
+	Fence   int64  `json:"fence"`
+	UntilMS int64  `json:"until_ms"`
+	Seen    int64  `json:"last_seen"`
+	WaitMS  int64  `json:"wait_ms"`
+}
+
+// read takes an order, and refuses one of an earlier owner.
+func (r *Runner) read(w http.ResponseWriter, q *http.Request) (runnerOrder, bool) {
+	var o runnerOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return o, false
+	}
+	if id := q.Header.Get("Expect-Instance"); id != "" && id != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return o, false
+	}
+	if o.Fence < r.fence {
+		r.answer(w, http.StatusConflict, "fence")
+		return o, false
+	}
+	r.fence = o.Fence
+	r.extend(o.UntilMS)
+	return o, true
+}
+
+// extend makes the lease of all that runs longer, and ends it all once it is over.
+func (r *Runner) extend(untilMS int64) {
+	until := r.begun.Add(time.Duration(untilMS) * time.Millisecond)
+	if untilMS == 0 || !until.After(r.until) {
+		return
+	}
+	r.until = until
+	time.AfterFunc(time.Until(until), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if time.Now().Before(r.until) {
+			return
+		}
+		for task := range r.runs {
+			r.end(task, "lapsed")
+		}
+	})
+}
+
+func (r *Runner) start(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	switch run := r.runs[o.Task]; {
+	case run != nil && run.run == o.Run:
+		r.answer(w, http.StatusOK, "")
+		return
+	case run != nil || o.Run <= r.refused[o.Task]:
+		r.answer(w, http.StatusConflict, "old")
+		return
+	}
+	if time.Now().After(r.begun.Add(time.Duration(o.UntilMS) * time.Millisecond)) {
+		r.answer(w, http.StatusConflict, "late")
+		return
+	}
+	if int64(len(r.runs)+1)*r.Size > r.Capacity {
+		r.Floor.fault(r.ID + " is over its capacity")
+	}
+	r.Floor.begin(o.Task)
+	task := o.Task
+	r.runs[task] = &runnerRun{run: o.Run, started: time.Now(), timer: time.AfterFunc(r.Length, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if run := r.runs[task]; run != nil && run.run == o.Run {
+			r.end(task, "done")
+		}
+	})}
+	r.answer(w, http.StatusOK, "")
+}
+
+func (r *Runner) stop(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	r.refused[o.Task] = max(r.refused[o.Task], o.Run)
+	if run := r.runs[o.Task]; run != nil && run.run == o.Run {
+		run.timer.Stop()
+		r.end(o.Task, "stopped")
+	}
+	r.answer(w, http.StatusOK, "")
+}
+
+// end lists the end of a run.
+func (r *Runner) end(task, how string) {
+	run := r.runs[task]
+	delete(r.runs, task)
+	r.number++
+	r.ended = append(r.ended, runnerEnd{number: r.number, task: task, run: run.run, how: how})
+	r.refused[task] = max(r.refused[task], run.run)
+	r.Floor.end(task, how == "done")
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Runner) hold(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.read(w, q)
+	if !ok {
+		return
+	}
+	r.ended = slices.DeleteFunc(r.ended, func(e runnerEnd) bool { return e.number <= o.Seen })
+	if len(r.ended) == 0 && o.WaitMS > 0 {
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-q.Context().Done():
+		case <-time.After(time.Duration(o.WaitMS) * time.Millisecond):
+		}
+		r.mu.Lock()
+	}
+	running, ended := [][]any{}, [][]any{}
+	for task, run := range r.runs {
+		running = append(running, []any{task, run.run, "", int(100 * time.Since(run.started) / r.Length), 0})
+	}
+	for _, e := range r.ended {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(map[string]any{"clock_ms": time.Since(r.begun).Milliseconds(), "born": r.begun.UnixMilli(), "running": running, "ended": ended})
+}
+
+func (r *Runner) answer(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	body := map[string]any{"clock_ms": time.Since(r.begun).Milliseconds()}
+	if reason != "" {
+		body["reason"] = reason
+	}
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// Advisor is a stand-in of the users' advice service that allows every worker.
+func Advisor() http.Handler {
+	m := chi.NewRouter()
+	m.Post("/vanillaquay/advise", func(w http.ResponseWriter, q *http.Request) {
+		var question struct {
+			Workers []string `json:"workers"`
+		}
+		if err := json.NewDecoder(q.Body).Decode(&question); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		good := [][]string{}
+		for _, id := range question.Workers {
+			good = append(good, []string{id, "T-" + strings.ToLower(id)})
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"good": good, "valid_ms": 2000})
+	})
+	return m
+}
