--- a/front/host.go
+++ b/front/host.go
@@ -59,8 +59,9 @@
 	watcher tenure.Watcher
 	// ownerSince is when the owner was last another one.
 	ownerSince time.Duration
-	// linkedAt is when this host could last reach the owner.
-	linkedAt time.Duration
+	// linkedAt is when this host last heard the owner, which announces itself every
+	// announced.
+	linkedAt, announced time.Duration
 	// near tells that the store stands in this region.
 	near  bool
 	owner *scheduler.Owner
--- a/front/link.go
+++ b/front/link.go
@@ -168,11 +168,16 @@
 
 // told takes the announcement of an owner. It doesn't count as a renewal: the
 // owner may be cut off from the store.
-func (h *Host) told(_ string, t Tenure) {
+func (h *Host) told(from string, t Tenure) {
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
 		if t.Fence <= w.Fence {
 			return w
 		}
 		return w.WithLease(now, t.Owner, t.Fence)
 	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t.Fence == h.watcher.Fence && from == t.Owner {
+		h.linkedAt, h.announced = clock.Now(), t.Interval
+	}
 }
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -23,8 +23,14 @@
 	candidateInterval = 100 * time.Millisecond
 	// takeTimeout bounds the taking of a cell.
 	takeTimeout = 3 * time.Second
-	// announceInterval is the pause between two announcements of the owner.
-	announceInterval = time.Second
+	// announceInterval is the pause between two announcements of the owner, and
+	// announceShare its part for each member, so that the owner of a large cell
+	// sends a hundred a second at most.
+	announceInterval = 300 * time.Millisecond
+	announceShare    = 10 * time.Millisecond
+	// announcesMissed is how many announcements may be missing until the owner
+	// counts as out of reach.
+	announcesMissed = 3
 	// leaseWait keeps the store's answers to the watch of the lease coming.
 	leaseWait = 700 * time.Millisecond
 	// resignPoll is the pause between two looks at whether the cell is given up.
@@ -43,6 +49,8 @@
 type Tenure struct {
 	Owner string `cbor:"1,keyasint"`
 	Fence int64  `cbor:"2,keyasint"`
+	// Interval is the pause until the next announcement.
+	Interval time.Duration `cbor:"3,keyasint"`
 }
 
 // watchLease follows the renewals of the owner.
@@ -110,18 +118,15 @@
 	h.desk.OwnerChanged()
 }
 
-// linked reports whether this host can reach the owner, or is still trying.
+// linked reports whether this host hears the owner, or may not have done so yet.
 func (h *Host) linked(now time.Duration) bool {
 	h.mu.Lock()
-	owner, since, own := h.watcher.Owner, h.ownerSince, h.owner != nil
-	h.mu.Unlock()
-	if own || owner != "" && h.hub.Reachable(owner) {
-		h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owner != nil {
 		h.linkedAt = now
-		h.mu.Unlock()
 		return true
 	}
-	return now-since < linkGrace
+	return now-h.linkedAt < announcesMissed*max(announceInterval, h.announced) || now-h.ownerSince < linkGrace
 }
 
 // rank is the place of this host among the candidates for a tenure.
@@ -221,16 +226,20 @@
 
 // announce tells the members now and then who owns the cell.
 func (h *Host) announce(ctx context.Context) {
-	for timer.Sleep(ctx, announceInterval) {
+	for timer.Sleep(ctx, h.announcePause()) {
 		if h.owned() != nil {
 			h.tell()
 		}
 	}
 }
 
+func (h *Host) announcePause() time.Duration {
+	return max(announceInterval, time.Duration(len(h.members.names()))*announceShare)
+}
+
 func (h *Host) tell() {
 	h.mu.Lock()
-	t := Tenure{Owner: h.watcher.Owner, Fence: h.watcher.Fence}
+	t := Tenure{Owner: h.watcher.Owner, Fence: h.watcher.Fence, Interval: h.announcePause()}
 	h.mu.Unlock()
 	for _, name := range h.members.names() {
 		if name != h.settings.Host {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -120,11 +120,10 @@
 		}
 		l.version = r.Version
 	}
-	if err := l.commit(ctx, owner, nil); err != nil {
-		return nil, errors.Annotatef(err, "taking cell %s", cell)
-	}
-	l.fence = int64(l.version)
-	return l, l.commit(ctx, owner, nil)
+	// The head row has a higher version after each transaction, so that this is more
+	// than any earlier owner's token and less than any later one's.
+	l.fence = int64(l.version) + 1
+	return l, errors.Annotatef(l.commit(ctx, owner, nil), "taking cell %s", cell)
 }
 
 // Fence returns the fencing token of this owner; it is higher than any earlier
@@ -228,7 +227,7 @@
 		Expected: []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Version: l.version}},
 		Writes:   []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Value: headValue}},
 	}
-	if now := clock.Now(); l.fence != 0 && (owner == "" || now-l.renewed >= renewal || l.renewed == 0) {
+	if now := clock.Now(); owner == "" || now-l.renewed >= renewal || l.renewed == 0 {
 		l.renewed = now
 		l.renewal++
 		leaseValue, err := codec.Marshal(Lease{Owner: owner, Fence: l.fence, Renewal: l.renewal})
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/codec"
@@ -25,21 +26,23 @@
 // recover reads what earlier owners recorded.
 func (o *Owner) recover(ctx context.Context) error {
 	begun := clock.Now()
-	workers, _, err := ledger.All(ctx, o.store, platform.WorkerTable, "")
-	if err != nil {
+	var workers, jobs []ledger.Row
+	// The tables are read at once, as a slow store takes long for each.
+	reads, readContext := errgroup.WithContext(ctx)
+	reads.Go(func() (err error) {
+		workers, _, err = ledger.All(readContext, o.store, platform.WorkerTable, "")
+		return err
+	})
+	reads.Go(func() (err error) {
+		jobs, _, err = ledger.All(readContext, o.store, ledger.JobTable, o.options.Cell)
+		return err
+	})
+	reads.Go(func() error { return recoverBook(readContext, o, &o.records.finished) })
+	reads.Go(func() error { return recoverBook(readContext, o, &o.records.progress) })
+	if err := reads.Wait(); err != nil {
 		return errors.Trace(err)
 	}
 	o.listWorkers(begun, workers)
-	if err := recoverBook(ctx, o, &o.records.finished); err != nil {
-		return errors.Trace(err)
-	}
-	if err := recoverBook(ctx, o, &o.records.progress); err != nil {
-		return errors.Trace(err)
-	}
-	jobs, _, err := ledger.All(ctx, o.store, ledger.JobTable, o.options.Cell)
-	if err != nil {
-		return errors.Trace(err)
-	}
 	now := clock.Now()
 	o.cell.Tick(now, time.Now().UnixMilli())
 	bound := now + o.options.PatienceOfEarlier
