cell: a run that stops takes room until it has ended, under the next owner too

Ruled out: the fence, since both runs are of one owner. A report proves the end only if it was asked for stop_ms after the stop. The properties, which now let stops take time, failed at once and found two more of the kind: runs of a cancelled job that the next owner did not know, and runs that an earlier owner had stopped.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -19,13 +19,17 @@
 	FarFactor float64
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
+	// StopTime is how long a run takes to stop at most. Meanwhile a worker may list
+	// it neither as running nor as ended.
+	StopTime time.Duration
 }
 
 // Cell is the state of one cell. Use New to make one.
 type Cell struct {
 	options   Options
 	catalogue workload.Catalogue
-	// jobs holds all jobs that are not final.
+	// jobs holds all jobs that are not final, and those with runs that have not
+	// ended: these take room, which the next owner must know.
 	jobs    map[string]*job
 	workers map[string]*worker
 	// order lists the workers by ID, so that decisions repeat.
@@ -72,7 +76,7 @@
 		}
 		changes = append(changes, Change{Job: j.Job, New: !j.recorded, Progress: j.progress()})
 		j.recorded, j.isChanged = true, false
-		if j.state.Final() {
+		if j.state.Final() && !j.hasRuns() {
 			delete(c.jobs, j.ID)
 		}
 	}
@@ -80,7 +84,7 @@
 	return actions, changes, notes
 }
 
-// Jobs returns the number of jobs that are not final.
+// Jobs returns the number of jobs that are not over.
 func (c *Cell) Jobs() int { return len(c.jobs) }
 
 // Workers returns the number of workers that are known.
--- a/cell/job.go
+++ b/cell/job.go
@@ -111,7 +111,7 @@
 	return true
 }
 
-// State returns the state of a job that is not final.
+// State returns the state of a job that is not over.
 func (c *Cell) State(id string) (workload.State, bool) {
 	j := c.jobs[id]
 	if j == nil {
@@ -126,6 +126,7 @@
 	if j == nil {
 		return false
 	}
+	// A job that is final stays so.
 	c.finish(now, j, workload.Cancelled, "the caller cancelled it")
 	return true
 }
--- a/cell/property_test.go
+++ b/cell/property_test.go
@@ -50,6 +50,9 @@
 	runs    map[workload.TaskID]int
 	refused map[workload.TaskID]int
 	ended   []cell.Ended
+	// stopping holds the runs that were told to stop, and until when they take. They
+	// are in neither list.
+	stopping map[workload.TaskID]time.Duration
 	// void is the last end before the lease has ended; it is never taken note of.
 	void   int64
 	number int64
@@ -81,7 +84,7 @@
 		tr.workers = append(tr.workers, &trialWorker{
 			Worker: workload.Worker{ID: fmt.Sprintf("w%d", i), Service: "S", Address: "x", Life: 1, Labels: []string{"a", fmt.Sprintf("r%d", i/2)},
 				Capacity: task.Size{Processors: 8 * task.Processor, Memory: 10 * task.Gibibyte}},
-			runs: map[workload.TaskID]int{}, refused: map[workload.TaskID]int{},
+			runs: map[workload.TaskID]int{}, refused: map[workload.TaskID]int{}, stopping: map[workload.TaskID]time.Duration{},
 		})
 	}
 	tr.takeOver()
@@ -101,7 +104,7 @@
 	}
 	tr.cell.Tick(tr.now, tr.now.Milliseconds())
 	for _, id := range tr.jobIDs() {
-		if j := tr.jobs[id]; !j.state.Final() {
+		if j := tr.jobs[id]; !j.progress.Over() {
 			tr.cell.Restore(tr.now, tr.now, j.Job, j.progress)
 		}
 	}
@@ -232,7 +235,7 @@
 		used = used.Plus(tr.jobs[id.Job].Steps[id.Step].Size)
 	}
 	if !used.Fits(w.Capacity) {
-		tr.t.Fatalf("LIMIT: %s has %s of %s", w.ID, used, w.Capacity)
+		tr.fail(w.ID, "LIMIT: %s has %s of %s", w.ID, used, w.Capacity)
 	}
 	queue, _ := catalogue().Queue(j.Queue)
 	if j.failed[s.Task] >= queue.Attempts {
@@ -268,7 +271,9 @@
 	w.fence = tr.fence
 	w.refused[s.Task] = max(w.refused[s.Task], s.Run)
 	if run, ok := w.runs[s.Task]; ok && run == s.Run {
-		tr.end(w, s.Task, cell.EndedStopped)
+		if _, ok := w.stopping[s.Task]; !ok {
+			w.stopping[s.Task] = tr.now + time.Duration(rapid.IntRange(0, int(options().StopTime/ms)).Draw(tr.t, "stopping"))*ms
+		}
 	}
 	tr.cell.StopAnswered(tr.now, s.Task, s.Run, w.ID, cell.Accepted)
 }
@@ -276,6 +281,7 @@
 // end ends a run; the truth of it counts at once.
 func (tr *trial) end(w *trialWorker, id workload.TaskID, how cell.Ending) {
 	run := w.runs[id]
+	delete(w.stopping, id)
 	if how == cell.EndedDone {
 		tr.jobs[id.Job].ended[id] = true
 	}
@@ -305,6 +311,9 @@
 	tr.cell.Granted(tr.now, w.ID)
 	r := cell.Report{Life: w.Life, Complete: true, Ended: slices.Clone(w.ended)}
 	for _, id := range sortedTasks(w.runs) {
+		if _, ok := w.stopping[id]; ok {
+			continue
+		}
 		r.Running = append(r.Running, cell.Running{Task: id, Run: w.runs[id], Percent: float64(tr.now.Milliseconds() % 97)})
 	}
 	for _, e := range w.ended {
@@ -343,6 +352,11 @@
 func (tr *trial) advance(length time.Duration) {
 	tr.now += length
 	for _, w := range tr.workers {
+		for _, id := range sortedTasks(w.runs) {
+			if until, ok := w.stopping[id]; ok && tr.now >= until {
+				tr.end(w, id, cell.EndedStopped)
+			}
+		}
 		if tr.now > w.until {
 			for _, id := range sortedTasks(w.runs) {
 				tr.end(w, id, cell.EndedLapsed)
@@ -390,6 +404,9 @@
 	if len(ids) == 0 {
 		return
 	}
+	if _, ok := w.stopping[ids[0]]; ok {
+		return
+	}
 	if id := ids[0]; !tr.jobs[id.Job].Steps[id.Step].Gang || how == cell.EndedFailed {
 		tr.end(w, id, how)
 	} else {
@@ -406,7 +423,8 @@
 		id := member
 		id.Index = i
 		for _, w := range tr.workers {
-			if _, ok := w.runs[id]; ok {
+			_, runs := w.runs[id]
+			if _, stops := w.stopping[id]; runs && !stops {
 				on[id] = w
 			}
 		}
@@ -455,6 +473,7 @@
 	w.Life++
 	w.fence, w.number, w.until, w.void = 0, 0, 0, 0
 	w.runs, w.refused, w.ended = map[workload.TaskID]int{}, map[workload.TaskID]int{}, nil
+	w.stopping = map[workload.TaskID]time.Duration{}
 	tr.cell.WorkerSeen(tr.now, w.Worker)
 	tr.settle()
 }
@@ -486,6 +505,9 @@
 			for _, w := range tr.workers {
 				tr.report(w)
 				for _, id := range sortedTasks(w.runs) {
+					if _, ok := w.stopping[id]; ok {
+						continue
+					}
 					if tr.jobs[id.Job].Steps[id.Step].Gang {
 						tr.endGang(id)
 					} else {
--- a/cell/record.go
+++ b/cell/record.go
@@ -43,6 +43,33 @@
 	Progress Progress
 }
 
+// Over reports whether a job is final and nothing of it takes room.
+func (p Progress) Over() bool {
+	if !p.State.Final() {
+		return false
+	}
+	for _, s := range p.Steps {
+		for _, t := range s.Tasks {
+			if len(t.Runs) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// hasRuns reports whether a run of the job has not ended.
+func (j *job) hasRuns() bool {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // progress returns the record of a job.
 func (j *job) progress() Progress {
 	p := Progress{State: j.state}
--- a/cell/report.go
+++ b/cell/report.go
@@ -11,6 +11,9 @@
 // worker that fails everything is found before it has used up all attempts.
 const failurePause = 100 * time.Millisecond
 
+// stopMargin is added to the time that a run takes to stop, for slow clocks.
+const stopMargin = 50 * time.Millisecond
+
 // stuckBound is how long a run may show no progress. Progress is in percent, and
 // the longest tasks take some 160 ms for one.
 const stuckBound = 3 * time.Second
@@ -151,6 +154,9 @@
 		}
 	}
 	w.strangers = strangers
+	if strangers > 0 {
+		w.strangersUntil = now + c.options.StopTime + stopMargin
+	}
 	for _, r := range w.sortedRuns() {
 		if l, ok := listed[runKey{r.id, r.number}]; ok {
 			c.seen(now, r, l)
@@ -179,14 +185,20 @@
 	}
 }
 
-// missing takes a run that the worker doesn't have. Only a report that was asked
-// for after the last answer about the run says something.
+// missing takes a run that the worker doesn't have. Only a report that was asked for
+// after the last answer about the run says something, and a run that may be stopping
+// is in neither list.
 func (c *Cell) missing(now, sent time.Duration, w *worker, r *run) {
 	switch r.state {
 	case placed:
 		return
 	case withdrawing:
-		if r.stopped == 0 || sent < r.stopped {
+		if r.stopped == 0 || sent < r.stopped+c.options.StopTime+stopMargin {
+			return
+		}
+	case unsettled:
+		// The earlier owner may have stopped it until it was replaced.
+		if sent < r.placedAt+c.options.StopTime+stopMargin {
 			return
 		}
 	default:
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -26,9 +26,23 @@
 		}
 		c.restoreStep(now, bound, j.steps[place], s)
 	}
+	if j.state.Final() {
+		c.withdrawRuns(now, j)
+	}
 	c.stale = true
 }
 
+// withdrawRuns stops what the earlier owner may not have stopped of a job that is
+// final.
+func (c *Cell) withdrawRuns(now time.Duration, j *job) {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			c.withdrawAll(now, s, t, "the job is "+string(j.state))
+		}
+	}
+	c.change(j)
+}
+
 func (c *Cell) restoreStep(now, bound time.Duration, s *step, p StepProgress) {
 	s.begun = true
 	for i, t := range p.Tasks {
--- a/cell/run.go
+++ b/cell/run.go
@@ -16,6 +16,7 @@
 const (
 	placed      chart.State = "Placed"
 	doubtful    chart.State = "Doubtful"
+	unsettled   chart.State = "Unsettled"
 	running     chart.State = "Running"
 	withdrawing chart.State = "Withdrawing"
 	closed      chart.State = "Closed"
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -198,7 +198,7 @@
 func (c *Cell) sortedJobs() []*job {
 	jobs := make([]*job, 0, len(c.jobs))
 	for _, j := range c.jobs {
-		if j.Schedule.Times > 0 {
+		if j.Schedule.Times > 0 && !j.state.Final() {
 			jobs = append(jobs, j)
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -37,6 +37,8 @@
 	life, seen int64
 	// strangers counts runs of the last report that are not known here.
 	strangers int
+	// strangersUntil is when those that were told to stop have ended.
+	strangersUntil time.Duration
 	// strikes counts failures since the last success; the worker rests until
 	// restUntil.
 	strikes   int
@@ -69,7 +71,7 @@
 
 // usable reports whether a worker may get new work.
 func (w *worker) usable(now time.Duration) bool {
-	return !w.gone && !w.Draining && w.strangers == 0 && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
+	return !w.gone && !w.Draining && w.strangers == 0 && now >= w.strangersUntil && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
 }
 
 // announced reports whether a worker may be asked about: it need not have been heard
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -220,8 +220,9 @@
 	actions, changes, notes := o.cell.Take()
 	o.write(notes)
 	for _, c := range changes {
+		_, earlier := o.records.finished.get(c.Job.ID)
 		o.records.add(time.Now().UnixMilli(), c)
-		if c.Progress.State.Final() {
+		if c.Progress.State.Final() && !earlier {
 			o.pendingFinal[c.Job.ID] = true
 			o.effects = append(o.effects, func() { delete(o.pendingFinal, c.Job.ID) })
 		}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -23,8 +23,8 @@
 }
 
 // records is what the store has, or is about to have, of the jobs of a cell. A job
-// that is final has an entry in finished; its row in the table of jobs is removed
-// when there is time, and is ignored until then.
+// that is final has an entry in finished; it has one in progress as long as runs of it
+// take room. Its row in the table of jobs is removed after that, when there is time.
 type records struct {
 	part     string
 	progress book[cell.Progress]
@@ -44,13 +44,19 @@
 	if c.New {
 		r.created = append(r.created, c.Job)
 	}
-	if !c.Progress.State.Final() {
+	if !c.Progress.Over() {
 		r.progress.set(c.Job.ID, c.Progress)
+	}
+	if !c.Progress.State.Final() {
 		return
 	}
-	r.finished.set(c.Job.ID, finished{State: c.Progress.State, At: wall})
-	r.progress.remove(c.Job.ID)
-	r.removals = append(r.removals, c.Job.ID)
+	if _, ok := r.finished.get(c.Job.ID); !ok {
+		r.finished.set(c.Job.ID, finished{State: c.Progress.State, At: wall})
+	}
+	if c.Progress.Over() {
+		r.progress.remove(c.Job.ID)
+		r.removals = append(r.removals, c.Job.ID)
+	}
 }
 
 // abandon forgets a job that was created and not taken yet.
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -66,12 +66,15 @@
 
 // restore takes a job back, or the rest of one that is final.
 func (o *Owner) restore(now, bound time.Duration, job workload.Job) {
-	if _, ok := o.records.finished.get(job.ID); ok {
-		o.records.progress.remove(job.ID)
+	progress, begun := o.records.progress.get(job.ID)
+	f, final := o.records.finished.get(job.ID)
+	if final && (!begun || progress.Over()) {
 		o.records.removals = append(o.records.removals, job.ID)
 		return
 	}
-	progress, _ := o.records.progress.get(job.ID)
+	if final {
+		progress.State = f.State
+	}
 	o.cell.Restore(now, bound, job, progress)
 }
 
