--- a/front/host.go
+++ b/front/host.go
@@ -62,6 +62,8 @@
 	// linkedAt is when this host last heard the owner, which announces itself every
 	// announced.
 	linkedAt, announced time.Duration
+	// ownerStalled tells that the store does not record for the owner.
+	ownerStalled bool
 	// near tells that the store stands in this region.
 	near  bool
 	owner *scheduler.Owner
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -33,6 +33,9 @@
 	announcesMissed = 3
 	// leaseWait keeps the store's answers to the watch of the lease coming.
 	leaseWait = 700 * time.Millisecond
+	// quickStore is the age up to which the last answer of the store says that the
+	// store is quick: the wait of a watch of the lease, and a call between regions.
+	quickStore = leaseWait + 100*time.Millisecond
 	// resignPoll is the pause between two looks at whether the cell is given up.
 	resignPoll = 10 * time.Millisecond
 	// linkGrace is how long the link to a new owner may take to come up.
@@ -51,6 +54,8 @@
 	Fence int64  `cbor:"2,keyasint"`
 	// Interval is the pause until the next announcement.
 	Interval time.Duration `cbor:"3,keyasint"`
+	// Stalled tells that the store does not record for the owner.
+	Stalled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // watchLease follows the renewals of the owner.
@@ -126,6 +131,10 @@
 		h.linkedAt = now
 		return true
 	}
+	if h.ownerStalled && now-h.watcher.StoreHeard < quickStore {
+		// The store serves this host and not the owner.
+		return false
+	}
 	return now-h.linkedAt < announcesMissed*max(announceInterval, h.announced) || now-h.ownerSince < linkGrace
 }
 
@@ -240,6 +249,9 @@
 func (h *Host) tell() {
 	h.mu.Lock()
 	t := Tenure{Owner: h.watcher.Owner, Fence: h.watcher.Fence, Interval: h.announcePause()}
+	if h.owner != nil {
+		t.Stalled = h.owner.Stalled()
+	}
 	h.mu.Unlock()
 	for _, name := range h.members.names() {
 		if name != h.settings.Host {
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -91,6 +91,11 @@
 	// commitMean is the moving mean of the length of a transaction.
 	commitMean  time.Duration
 	commitEnded atomic.Int64
+	// underWay is when the transaction under way began, for other duties; 0 is none.
+	underWay atomic.Int64
+	// fenced is closed once a worker obeys a later owner.
+	fenced     chan struct{}
+	fencedOnce sync.Once
 	// resigned tells that nothing may be started any more.
 	resigned bool
 	pruned   time.Duration
@@ -104,7 +109,7 @@
 	return &Owner{
 		options: options, ledger: l, store: store, workers: workers, members: members, log: log, count: count,
 		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{},
-		records: newRecords(options.Cell), fresh: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}),
+		records: newRecords(options.Cell), fresh: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}), fenced: make(chan struct{}),
 	}
 }
 
@@ -177,6 +182,8 @@
 			return ctx.Err()
 		case <-o.resigning:
 			return o.resign(ctx)
+		case <-o.fenced:
+			return errors.Annotate(ledger.ErrLost, "a worker obeys a later owner")
 		case e := <-o.events.Values():
 			o.handle(e)
 		case <-tick.C:
@@ -285,6 +292,7 @@
 	}
 	o.underway, o.effects = o.effects, nil
 	o.committing, o.commitBegun = true, now
+	o.underWay.Store(int64(now))
 	o.group.Add(1)
 	go func() {
 		defer o.group.Done()
@@ -298,6 +306,7 @@
 func (o *Owner) release() {
 	o.learnDelay(clock.Now() - o.commitBegun)
 	o.committing = false
+	o.underWay.Store(0)
 	o.commitEnded.Store(int64(clock.Now()))
 	for _, effect := range o.underway {
 		effect()
@@ -325,6 +334,12 @@
 	return o.committing && now-o.commitBegun > stallBound
 }
 
+// Stalled reports whether the store takes too long to record.
+func (o *Owner) Stalled() bool {
+	begun := time.Duration(o.underWay.Load())
+	return begun != 0 && clock.Now()-begun > stallBound
+}
+
 // orderly reports whether this owner may give orders: nobody else can have had the
 // cell for long.
 func (o *Owner) orderly(now time.Duration) bool {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -187,6 +187,7 @@
 	o := d.owner
 	if errors.Is(err, cell.ErrFenced) {
 		o.count.Fenced.Add(1)
+		o.fencedOnce.Do(func() { close(o.fenced) })
 	}
 	if d.offset.Swap(nil) != nil {
 		o.log.WithFields(logrus.Fields{"worker": d.worker.Load().ID, "why": err.Error()}).Warn("scheduler: worker silent")
