--- a/cell/action.go
+++ b/cell/action.go
@@ -46,6 +46,7 @@
 	Stops     []Stop
 	Questions []Question
 	Looks     []Look
+	Paces     []Pace
 }
 
 // Note is a line for the log: one decision with what decided it.
--- a/cell/report.go
+++ b/cell/report.go
@@ -41,6 +41,7 @@
 	}
 	if newest {
 		c.compare(now, sent, w, report)
+		c.share(now, w, report)
 	}
 	c.dropIfEmpty(w)
 	c.stale = true
--- a/cell/run.go
+++ b/cell/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/chart"
+	"github.com/vanillaquay/vanillaquay/pace"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -43,6 +44,8 @@
 	// percent is the progress, which last rose at progressed.
 	percent    float64
 	progressed time.Duration
+	// share is the last share that was ordered, in percent.
+	share int
 	// counted tells that the task or its gang still waits for this run's end.
 	counted bool
 }
@@ -68,7 +71,7 @@
 func (c *Cell) place(now time.Duration, s *step, t *taskRecord, w *worker, number int) {
 	r := &run{
 		id: s.taskID(t), number: number, size: s.Room(), worker: w.Worker, state: runChart.Initial(),
-		placedAt: now, progressed: now, counted: true,
+		placedAt: now, progressed: now, counted: true, share: pace.Full,
 	}
 	t.run = number
 	t.runs = append(t.runs, r)
--- /dev/null
+++ b/cell/share.go
@@ -0,0 +1,67 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/pace"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// Pace is an order to let a run work at a share.
+type Pace struct {
+	Worker workload.Worker
+	Task   workload.TaskID
+	Run    int
+	// Percent is the share.
+	Percent int
+}
+
+// share keeps the services of a worker within their latency targets by the share of
+// what fills beside them.
+func (c *Cell) share(now time.Duration, w *worker, report Report) {
+	var services []pace.Service
+	var fills []*run
+	for _, l := range report.Running {
+		r := w.runs[runKey{l.Task, l.Run}]
+		s, _ := c.find(l.Task)
+		if r == nil || s == nil || r.state != running {
+			continue
+		}
+		if s.Fills {
+			fills = append(fills, r)
+		} else if s.Daemon && s.LatencyTarget > 0 {
+			services = append(services, pace.Service{Tail: time.Duration(l.Measure) * time.Millisecond, Target: s.LatencyTarget})
+		}
+	}
+	w.shared = len(services) > 0 && len(fills) > 0
+	earlier := w.pace.Share()
+	w.pace = w.pace.WithReport(now, services)
+	if w.pace.Share() != earlier {
+		c.note(Note{What: "share changed", Worker: w.ID, Why: countOf(w.pace.Share(), pace.Full)})
+	}
+	for _, r := range fills {
+		if r.share != w.pace.Share() {
+			r.share = w.pace.Share()
+			c.actions.Paces = append(c.actions.Paces, Pace{Worker: w.Worker, Task: r.id, Run: r.number, Percent: r.share})
+		}
+	}
+}
+
+// Shared reports whether a worker has services beside tasks that fill, so that it
+// must be looked at more often.
+func (c *Cell) Shared(id string) bool { return c.workers[id] != nil && c.workers[id].shared }
+
+// PaceAnswered tells what became of an order; one without effect is given again.
+func (c *Cell) PaceAnswered(p Pace, answer Answer) {
+	w := c.workers[p.Worker.ID]
+	if w == nil || answer == Accepted {
+		return
+	}
+	if r := w.runs[runKey{p.Task, p.Run}]; r != nil {
+		r.share = unknownShare
+	}
+}
+
+// unknownShare is the share of a run whose worker may have another one than was
+// ordered.
+const unknownShare = -1
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/pace"
 	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -39,6 +40,9 @@
 	strangers int
 	// strangersUntil is when those that were told to stop have ended.
 	strangersUntil time.Duration
+	// pace is the share of what fills, shared tells that services run beside it.
+	pace   pace.State
+	shared bool
 	// strikes counts failures since the last success; the worker rests until
 	// restUntil.
 	strikes   int
--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,48 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/pace"
+)
+
+const ms = time.Millisecond
+
+func tail(t time.Duration) []pace.Service { return []pace.Service{{Tail: t, Target: 100 * ms}} }
+
+// What fills disturbs a service in proportion to its share. The service must not be
+// over its target for 4 s on end.
+func TestServiceIsRelievedWithinItsBound(t *testing.T) {
+	var s pace.State
+	over := time.Duration(0)
+	for now := 500 * ms; now < 20*time.Second; now += 500 * ms {
+		latency := 70*ms + time.Duration(s.Share())*ms
+		s = s.WithReport(now, tail(latency))
+		if latency > 100*ms {
+			over += 500 * ms
+		} else {
+			over = 0
+		}
+		qt.Assert(t, over < 4*time.Second, qt.IsTrue, qt.Commentf("at %s", now))
+	}
+	qt.Assert(t, s.Share() < 40, qt.IsTrue)
+}
+
+// A share that was cut comes back once the services are well.
+func TestShareComesBack(t *testing.T) {
+	var s pace.State
+	s = s.WithReport(time.Second, tail(200*ms))
+	qt.Assert(t, s.Share(), qt.Equals, 40)
+	for now := 2 * time.Second; now < 20*time.Second; now += 500 * ms {
+		s = s.WithReport(now, tail(20*ms))
+	}
+	qt.Assert(t, s.Share(), qt.Equals, pace.Full)
+}
+
+func TestNothingIsHeldBackWithoutATarget(t *testing.T) {
+	s := pace.State{}.WithReport(time.Second, []pace.Service{{Tail: time.Hour}})
+	qt.Assert(t, s.Share(), qt.Equals, pace.Full)
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -240,6 +240,9 @@
 	for _, s := range actions.Stops {
 		o.stop(s)
 	}
+	for _, p := range actions.Paces {
+		o.pace(p)
+	}
 	for _, l := range actions.Looks {
 		if d := o.duties[l.Worker]; d != nil {
 			d.look()
--- a/scheduler/port.go
+++ b/scheduler/port.go
@@ -14,6 +14,7 @@
 type Workers interface {
 	Start(ctx context.Context, s platform.Start) cell.Answer
 	Stop(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64) cell.Answer
+	Pace(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64, percent int) cell.Answer
 	Hold(ctx context.Context, address, worker string, fence, seen, until int64, wait time.Duration) (platform.Lists, error)
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,6 +19,9 @@
 const (
 	// holdWait is how long a worker waits for an end before it reports.
 	holdWait = 1500 * time.Millisecond
+	// sharedWait is the same for a worker whose services are to be kept within
+	// their targets; what the worker says of these is of the last half second.
+	sharedWait = 500 * time.Millisecond
 	// holdPause is the least time between two reports, so that ends come in
 	// batches.
 	holdPause = 25 * time.Millisecond
@@ -42,6 +45,8 @@
 	// offset is the worker's clock against this host's; nil while the worker
 	// hasn't answered lately.
 	offset atomic.Pointer[time.Duration]
+	// shared tells that services run beside tasks that fill.
+	shared atomic.Bool
 	// missingSince is when the worker was last missing from the list; 0 is never.
 	// Only the decision duty uses it.
 	missingSince time.Duration
@@ -52,10 +57,11 @@
 	life, number int64
 }
 
-// order is a start or a stop.
+// order is a start, a stop or a share.
 type order struct {
 	start *cell.Start
 	stop  *cell.Stop
+	pace  *cell.Pace
 }
 
 // attend begins a duty for each worker that is new, and ends those of workers that
@@ -114,6 +120,9 @@
 		pause := holdPause
 		if d.report(ctx, wait) {
 			wait = holdWait
+			if d.shared.Load() {
+				wait = sharedWait
+			}
 		} else {
 			wait, pause = 0, holdRetry
 		}
@@ -172,6 +181,7 @@
 func (d *workerDuty) heard(now, sent time.Duration, id string, report cell.Report) {
 	o := d.owner
 	number := o.cell.Heard(now, sent, id, report)
+	d.shared.Store(o.cell.Shared(id))
 	if number == 0 {
 		return
 	}
@@ -202,10 +212,13 @@
 		case <-ctx.Done():
 			return
 		case order := <-d.orders.Values():
-			if order.start != nil {
+			switch {
+			case order.start != nil:
 				d.sendStart(ctx, *order.start)
-			} else {
+			case order.stop != nil:
 				d.sendStop(ctx, *order.stop)
+			default:
+				d.sendPace(ctx, *order.pace)
 			}
 		}
 	}
@@ -242,6 +255,23 @@
 	o.post(func(now time.Duration) { o.cell.StopAnswered(now, s.Task, s.Run, w.ID, answer) })
 }
 
+func (d *workerDuty) sendPace(ctx context.Context, p cell.Pace) {
+	o, w := d.owner, d.worker.Load()
+	if !o.orderly(clock.Now()) {
+		return
+	}
+	answer := o.workers.Pace(ctx, w.Address, w.ID, p.Task, p.Run, o.Fence(), p.Percent)
+	o.post(func(time.Duration) { o.cell.PaceAnswered(p, answer) })
+}
+
+// pace hands an order to its worker's duty.
+func (o *Owner) pace(p cell.Pace) {
+	d := o.duties[p.Worker.ID]
+	if d == nil || d.orders.TryPut(order{pace: &p}) != nil {
+		o.cell.PaceAnswered(p, cell.Unsent)
+	}
+}
+
 // start hands an order to its worker's duty, if it is still wanted.
 func (o *Owner) start(s cell.Start) {
 	if o.resigned {
