--- a/cell/cell.go
+++ b/cell/cell.go
@@ -44,11 +44,12 @@
 	wall int64
 	// recordDelay is how long it takes to record a start.
 	recordDelay time.Duration
+	speeds      speeds
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force.
--- a/cell/report.go
+++ b/cell/report.go
@@ -42,6 +42,7 @@
 	if newest {
 		c.compare(now, sent, w, report)
 		c.share(now, w, report)
+		c.checkSpeed(now, w)
 	}
 	c.dropIfEmpty(w)
 	c.stale = true
@@ -59,7 +60,7 @@
 	c.apply(r, "Ended")
 	s, t := c.find(e.Task)
 	if s != nil {
-		c.count(now, w, s, t, e)
+		c.count(now, w, s, t, e, r)
 	}
 	c.closeRun(now, w, r)
 	if s != nil {
@@ -67,14 +68,17 @@
 	}
 }
 
-// count draws the conclusion from an end for its task.
-func (c *Cell) count(now time.Duration, w *worker, s *step, t *taskRecord, e Ended) {
+// count draws the conclusion from the end of a run for its task.
+func (c *Cell) count(now time.Duration, w *worker, s *step, t *taskRecord, e Ended, r *run) {
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
 	switch e.How {
 	case EndedDone:
 		w.strikes = 0
+		if !s.Gang && !r.restored && e.Run == 1 {
+			c.speeds.learn(s.job.Queue, s.Estimate, now-r.placedAt)
+		}
 		c.done(now, s, t)
 	case EndedFailed:
 		w.failed(now)
--- a/cell/run.go
+++ b/cell/run.go
@@ -44,6 +44,9 @@
 	// percent is the progress, which last rose at progressed.
 	percent    float64
 	progressed time.Duration
+	// restored tells that an earlier owner placed the run, so that its age is not
+	// known.
+	restored bool
 	// share is the last share that was ordered, in percent.
 	share int
 	// counted tells that the task or its gang still waits for this run's end.
--- /dev/null
+++ b/cell/speed.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"time"
+)
+
+const (
+	// speedAge is how long a run must have worked for its progress to tell how fast
+	// its worker is. Progress comes in percent.
+	speedAge = 600 * time.Millisecond
+	// slowShare is the part of the usual speed below which a worker is slow. The
+	// kinds of workers differ by a third, and estimates by a factor of two.
+	slowShare = 0.35
+	// slowRuns is how many runs must agree; estimates of single ones are wrong.
+	slowRuns = 2
+	// slowRest is how long a slow worker gets nothing new; it is looked at again
+	// with each report.
+	slowRest = 1500 * time.Millisecond
+	// speedWeight is the weight of the past in the usual speed of a queue.
+	speedWeight = 20
+)
+
+// speeds holds how fast runs of a queue usually are against their estimates. The
+// zero value knows nothing.
+type speeds map[string]float64
+
+// learn takes a run that has ended as done.
+func (s speeds) learn(queue string, estimate, took time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	speed := float64(estimate) / float64(took)
+	if known, ok := s[queue]; ok {
+		speed = known + (speed-known)/speedWeight
+	}
+	s[queue] = speed
+}
+
+// checkSpeed lets a worker rest on which runs make far less progress than usual.
+func (c *Cell) checkSpeed(now time.Duration, w *worker) {
+	runs, sum := 0, 0.0
+	for _, r := range w.runs {
+		s, _ := c.find(r.id)
+		if s == nil || r.state != running || r.restored || s.Daemon || s.Fills || s.Gang || s.Estimate <= 0 || r.progressed-r.placedAt < speedAge {
+			continue
+		}
+		usual, ok := c.speeds[s.job.Queue]
+		if !ok {
+			continue
+		}
+		worked := time.Duration(r.percent / 100 * float64(s.Estimate))
+		sum += float64(worked) / float64(r.progressed-r.placedAt) / usual
+		runs++
+	}
+	if runs < slowRuns || sum/float64(runs) > slowShare {
+		return
+	}
+	if now >= w.restUntil {
+		c.note(Note{What: "worker slow", Worker: w.ID, Why: countOf(runs, len(w.runs)) + " runs are slow"})
+	}
+	w.restUntil = max(w.restUntil, now+slowRest)
+}
--- /dev/null
+++ b/cell/speed_test.go
@@ -0,0 +1,65 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+)
+
+// Some workers become several times slower for a while, and answer all the same.
+// Short tasks must not go there meanwhile.
+func TestSlowWorkersGetNothingNew(t *testing.T) {
+	w := newWorld(2)
+	// The usual speed is learned from tasks that take as long as estimated.
+	for n := range 5 {
+		w.submit(job(id(n), "Plain", 4, nil))
+		w.now += second
+		for _, f := range w.workers {
+			f.endAll(cell.EndedDone)
+		}
+		w.reportAll()
+	}
+	w.submit(job(id(10), "Plain", 10, nil))
+	for range 4 {
+		w.now += 500 * ms
+		for _, f := range w.workers {
+			for i := range f.running {
+				f.running[i].Percent += map[string]float64{"w0": 8, "w1": 50}[f.ID]
+			}
+		}
+		w.reportAll()
+	}
+	w.workers["w1"].endAll(cell.EndedDone)
+	w.workers["w0"].end(w.workers["w0"].running[0].Task, 1, cell.EndedDone)
+	w.reportAll()
+	before := len(w.workers["w0"].running)
+	w.submit(job(id(11), "Plain", 5, nil))
+	qt.Assert(t, w.workers["w0"].running, qt.HasLen, before)
+	qt.Assert(t, w.workers["w1"].running, qt.HasLen, 5)
+}
+
+// A new owner does not know how long the runs that it finds have worked: they tell
+// nothing of the usual speed.
+func TestRestoredRunsTeachNoSpeed(t *testing.T) {
+	w := newWorld(2)
+	w.submit(job(id(1), "Plain", 10, nil))
+	next := newWorld(0)
+	next.workers = w.workers
+	for _, f := range w.workers {
+		next.WorkerSeen(next.now, f.Worker)
+	}
+	next.Restore(next.now, next.now, w.jobs[id(1)], w.progress[id(1)])
+	next.reportAll()
+	next.now += 10 * ms
+	for _, f := range next.workers {
+		f.endAll(cell.EndedDone)
+	}
+	next.reportAll()
+	next.submit(job(id(2), "Plain", 6, nil))
+	next.pass(3 * second)
+	for _, n := range next.notes {
+		qt.Assert(t, n.What, qt.Not(qt.Equals), "worker slow")
+	}
+}
