--- a/cell/property_test.go
+++ b/cell/property_test.go
@@ -25,6 +25,8 @@
 	// delayed holds orders to start that have had no answer yet.
 	delayed []delayedStart
 	next    int
+	// captured holds reports that are on their way; they may overtake one another.
+	captured []capturedReport
 	// history tells what happened, for a failure.
 	history []string
 }
@@ -56,8 +58,10 @@
 	// void is the last end before the lease has ended; it is never taken note of.
 	void   int64
 	number int64
-	down   bool
-	cut    bool
+	// counted holds the ends that were delivered.
+	counted []int64
+	down    bool
+	cut     bool
 }
 
 type trialJob struct {
@@ -71,6 +75,16 @@
 	failed map[workload.TaskID]int
 }
 
+type capturedReport struct {
+	worker *trialWorker
+	sent   time.Duration
+	report cell.Report
+	life   int64
+	// waits tells that the worker answers as it is at the delivery, as one that
+	// waits for an end does.
+	waits bool
+}
+
 type delayedStart struct {
 	cell.Start
 	at, until time.Duration
@@ -95,6 +109,7 @@
 func (tr *trial) takeOver() {
 	tr.fence++
 	tr.note("* new owner")
+	tr.captured = nil
 	tr.cell = cell.New(options())
 	tr.cell.SetCatalogue(catalogue())
 	for _, w := range tr.workers {
@@ -301,11 +316,16 @@
 	return nil
 }
 
-// report lets a worker report; what it says of ends counts as taken note of.
+// report lets a worker report at once.
 func (tr *trial) report(w *trialWorker) {
 	if w.down || w.cut {
 		return
 	}
+	tr.deliver(tr.capture(w))
+}
+
+// capture returns the report that a worker makes now.
+func (tr *trial) capture(w *trialWorker) capturedReport {
 	w.fence = tr.fence
 	w.until = max(w.until, tr.now+options().Lease)
 	tr.cell.Granted(tr.now, w.ID)
@@ -316,22 +336,35 @@
 		}
 		r.Running = append(r.Running, cell.Running{Task: id, Run: w.runs[id], Percent: float64(tr.now.Milliseconds() % 97)})
 	}
-	for _, e := range w.ended {
+	return capturedReport{worker: w, sent: tr.now, report: r, life: w.Life}
+}
+
+// deliver hands a report to the owner; what it says of ends counts as taken note of.
+func (tr *trial) deliver(c capturedReport) {
+	w, r := c.worker, c.report
+	for _, e := range r.Ended {
 		j := tr.jobs[e.Task.Job]
-		if e.Number <= w.void {
+		if e.Number <= w.void || c.life != w.Life {
 			continue
 		}
 		switch e.How {
 		case cell.EndedDone:
 			j.done[e.Task] = true
 		case cell.EndedFailed:
-			j.failed[e.Task]++
+			if !slices.Contains(w.counted, e.Number) {
+				j.failed[e.Task]++
+			}
 		}
+		w.counted = append(w.counted, e.Number)
 	}
-	tr.note("* %s reports %v %v", w.ID, r.Running, r.Ended)
-	tr.cell.Heard(tr.now, tr.now, w.ID, r)
+	tr.note("* %s reports %v %v as of %s", w.ID, r.Running, r.Ended, c.sent)
+	tr.cell.Heard(tr.now, c.sent, w.ID, r)
 	tr.settle()
-	w.ended = nil
+	if c.life == w.Life {
+		w.ended = slices.DeleteFunc(w.ended, func(e cell.Ended) bool {
+			return slices.ContainsFunc(r.Ended, func(other cell.Ended) bool { return other.Number == e.Number })
+		})
+	}
 }
 
 func sortedTasks(runs map[workload.TaskID]int) []workload.TaskID {
@@ -442,7 +475,27 @@
 
 func (tr *trial) act() {
 	w := rapid.SampledFrom(tr.workers).Draw(tr.t, "worker")
-	switch rapid.IntRange(0, 15).Draw(tr.t, "act") {
+	switch rapid.IntRange(0, 19).Draw(tr.t, "act") {
+	case 16, 17:
+		if !w.cut {
+			c := tr.capture(w)
+			c.waits = rapid.Bool().Draw(tr.t, "waits")
+			tr.captured = append(tr.captured, c)
+		}
+	case 18, 19:
+		if len(tr.captured) > 0 {
+			i := rapid.IntRange(0, len(tr.captured)-1).Draw(tr.t, "report")
+			c := tr.captured[i]
+			tr.captured = slices.Delete(tr.captured, i, i+1)
+			if sent := c.sent; c.waits {
+				if c.worker.cut {
+					return
+				}
+				c = tr.capture(c.worker)
+				c.sent = sent
+			}
+			tr.deliver(c)
+		}
 	case 0, 1:
 		tr.submit()
 	case 2:
@@ -473,7 +526,7 @@
 	w.Life++
 	w.fence, w.number, w.until, w.void = 0, 0, 0, 0
 	w.runs, w.refused, w.ended = map[workload.TaskID]int{}, map[workload.TaskID]int{}, nil
-	w.stopping = map[workload.TaskID]time.Duration{}
+	w.stopping, w.counted = map[workload.TaskID]time.Duration{}, nil
 	tr.cell.WorkerSeen(tr.now, w.Worker)
 	tr.settle()
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -182,6 +182,9 @@
 // seen takes a run that the worker has.
 func (c *Cell) seen(now time.Duration, r *run, l Running) {
 	c.apply(r, "Seen")
+	// Reports overtake one another: one that was asked for before now and does not
+	// have the run may be older than this one.
+	r.settledAt = now
 	if l.Percent != r.percent {
 		r.percent, r.progressed = l.Percent, now
 	}
@@ -198,16 +201,16 @@
 	case placed:
 		return
 	case withdrawing:
-		if r.stopped == 0 || sent < r.stopped+c.options.StopTime+stopMargin {
+		if r.stopped == 0 || sent <= r.stopped+c.options.StopTime+stopMargin {
 			return
 		}
 	case unsettled:
 		// The earlier owner may have stopped it until it was replaced.
-		if sent < r.placedAt+c.options.StopTime+stopMargin {
+		if sent <= r.placedAt+c.options.StopTime+stopMargin {
 			return
 		}
 	default:
-		if sent < r.settledAt {
+		if sent <= r.settledAt {
 			return
 		}
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -73,7 +73,9 @@
 	duties map[string]*workerDuty
 	group  sync.WaitGroup
 
-	records *records
+	// catalogue is a version of the operator's queues that is not in force yet.
+	catalogue atomic.Pointer[workload.Catalogue]
+	records   *records
 	// fresh holds who waits for the acceptance of jobs that are in no transaction
 	// yet.
 	fresh map[string][]func(intake.Reply)
@@ -126,11 +128,17 @@
 	return true
 }
 
-// SetCatalogue puts a version of the operator's queues in force.
-func (o *Owner) SetCatalogue(c workload.Catalogue) {
-	o.post(func(time.Duration) { o.cell.SetCatalogue(c) })
+// deliver hands an event to the decision duty and waits for room: what happened to an
+// order must not be lost.
+func (o *Owner) deliver(ctx context.Context, e event) {
+	// The context ends with the tenure, and the event with it.
+	_ = o.events.Put(ctx, e)
 }
 
+// SetCatalogue puts a version of the operator's queues in force, with the next
+// decision.
+func (o *Owner) SetCatalogue(c workload.Catalogue) { o.catalogue.Store(&c) }
+
 // Call takes the call of a host.
 func (o *Owner) Call(from string, c intake.Call) {
 	if !o.post(func(now time.Duration) { o.take(now, from, c) }) {
@@ -199,6 +207,9 @@
 			o.release()
 		}
 		now := clock.Now()
+		if c := o.catalogue.Swap(nil); c != nil {
+			o.cell.SetCatalogue(*c)
+		}
 		o.cell.SetRecordDelay(o.recordDelay(now))
 		o.cell.Schedule(now)
 		o.dispatch(ctx)
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -95,8 +95,8 @@
 func (o *Owner) watchWorkers(ctx context.Context) {
 	ledger.Watch{
 		Store: o.store, Table: platform.WorkerTable, Pause: workerPause, Wait: 2 * time.Second,
-		List:   func(rows []ledger.Row) { o.post(func(now time.Duration) { o.listWorkers(now, rows) }) },
-		Change: func(r ledger.Row) { o.post(func(now time.Duration) { o.changeWorker(now, r) }) },
+		List:   func(rows []ledger.Row) { o.deliver(ctx, func(now time.Duration) { o.listWorkers(now, rows) }) },
+		Change: func(r ledger.Row) { o.deliver(ctx, func(now time.Duration) { o.changeWorker(now, r) }) },
 		Failed: func(err error) { o.log.WithField("why", err.Error()).Warn("scheduler: list of workers not read") },
 	}.Run(ctx)
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -154,7 +154,7 @@
 	var until, forget int64
 	if offset := d.offset.Load(); offset != nil {
 		until = (sent + *offset + o.options.Bound.Lease).Milliseconds()
-		o.post(func(time.Duration) { o.cell.Granted(sent, w.ID) })
+		o.deliver(ctx, func(time.Duration) { o.cell.Granted(sent, w.ID) })
 		if s := d.recorded.Load(); s != nil {
 			forget = s.number
 		}
@@ -173,7 +173,7 @@
 	if d.offset.Swap(&offset) == nil {
 		o.log.WithFields(logrus.Fields{"worker": w.ID, "life": lists.Report.Life}).Info("scheduler: worker heard")
 	}
-	o.post(func(now time.Duration) { d.heard(now, sent, w.ID, lists.Report) })
+	o.deliver(ctx, func(now time.Duration) { d.heard(now, sent, w.ID, lists.Report) })
 	return true
 }
 
@@ -227,7 +227,7 @@
 func (d *workerDuty) sendStart(ctx context.Context, s cell.Start) {
 	o, w := d.owner, d.worker.Load()
 	answered := func(a cell.Answer) {
-		o.post(func(now time.Duration) { o.cell.Answered(now, s.Task, s.Run, w.ID, a) })
+		o.deliver(ctx, func(now time.Duration) { o.cell.Answered(now, s.Task, s.Run, w.ID, a) })
 	}
 	sent := clock.Now()
 	offset := d.offset.Load()
@@ -235,7 +235,7 @@
 		answered(cell.Unsent)
 		return
 	}
-	o.post(func(time.Duration) { o.cell.Granted(sent, w.ID) })
+	o.deliver(ctx, func(time.Duration) { o.cell.Granted(sent, w.ID) })
 	answer := o.workers.Start(ctx, platform.Start{
 		Address: w.Address, Worker: w.ID, Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		Fence: o.Fence(), Until: (sent + *offset + o.options.Bound.StartLease).Milliseconds(),
@@ -252,7 +252,7 @@
 	}
 	answer := o.workers.Stop(ctx, w.Address, w.ID, s.Task, s.Run, o.Fence())
 	o.count.Stops.Add(1)
-	o.post(func(now time.Duration) { o.cell.StopAnswered(now, s.Task, s.Run, w.ID, answer) })
+	o.deliver(ctx, func(now time.Duration) { o.cell.StopAnswered(now, s.Task, s.Run, w.ID, answer) })
 }
 
 func (d *workerDuty) sendPace(ctx context.Context, p cell.Pace) {
@@ -261,7 +261,7 @@
 		return
 	}
 	answer := o.workers.Pace(ctx, w.Address, w.ID, p.Task, p.Run, o.Fence(), p.Percent)
-	o.post(func(time.Duration) { o.cell.PaceAnswered(p, answer) })
+	o.deliver(ctx, func(time.Duration) { o.cell.PaceAnswered(p, answer) })
 }
 
 // pace hands an order to its worker's duty.
