--- /dev/null
+++ b/lines/writer_test.go
@@ -0,0 +1,46 @@
+package lines_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/lines"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(data []byte) (int, error) {
+	<-b.open
+	return b.Buffer.Write(data)
+}
+
+func TestLinesComeOut(t *testing.T) {
+	var out bytes.Buffer
+	w := lines.New(&out)
+	for _, line := range []string{"a\n", "b\n"} {
+		_, err := w.Write([]byte(line))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	w.Close()
+	qt.Assert(t, out.String(), qt.Equals, "a\nb\n")
+}
+
+// An output that nobody reads blocks no one; what is dropped is counted.
+func TestFullOutputBlocksNobody(t *testing.T) {
+	out := &blocked{open: make(chan struct{})}
+	w := lines.New(out)
+	for range 50_000 {
+		_, err := w.Write([]byte("a line that is long enough to fill the buffer soon\n"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	close(out.open)
+	w.Close()
+	qt.Assert(t, strings.Contains(out.String(), "lines: dropped"), qt.IsTrue)
+}
