--- a/cell/cell.go
+++ b/cell/cell.go
@@ -15,10 +15,6 @@
 	// ClockSkew is by how much of its length a lease may last longer, as the
 	// clocks of workers may be slow.
 	ClockSkew float64
-	// FarFactor times the duration is what a task takes far from its data.
-	FarFactor float64
-	// GangTimeout is how long a member of a gang waits for the others.
-	GangTimeout time.Duration
 	// StopTime is how long a run takes to stop at most. Meanwhile a worker may list
 	// it neither as running nor as ended.
 	StopTime time.Duration
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -69,7 +69,7 @@
 		c.order = append(c.order, w)
 	}
 	w.granted = max(w.granted, bound)
-	r := &run{id: s.taskID(t), number: p.Run, size: s.Room(), worker: w.Worker, state: runChart.Initial(), placedAt: now, progressed: now, counted: true, restored: true, share: unknownShare}
+	r := &run{id: s.taskID(t), number: p.Run, size: s.Room(), worker: w.Worker, state: runChart.Initial(), placedAt: now, progressed: now, restored: true, share: unknownShare}
 	c.apply(r, "Recover")
 	t.runs = append(t.runs, r)
 	w.add(r)
--- a/cell/run.go
+++ b/cell/run.go
@@ -49,8 +49,6 @@
 	restored bool
 	// share is the last share that was ordered, in percent.
 	share int
-	// counted tells that the task or its gang still waits for this run's end.
-	counted bool
 }
 
 // runKey names a run on a worker.
@@ -74,7 +72,7 @@
 func (c *Cell) place(now time.Duration, s *step, t *taskRecord, w *worker, number int) {
 	r := &run{
 		id: s.taskID(t), number: number, size: s.Room(), worker: w.Worker, state: runChart.Initial(),
-		placedAt: now, progressed: now, counted: true, share: pace.Full,
+		placedAt: now, progressed: now, share: pace.Full,
 	}
 	t.run = number
 	t.runs = append(t.runs, r)
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -135,6 +135,8 @@
 	start time.Duration
 	// work is what the job takes in all, in processor-seconds.
 	work float64
+	// priority is that of the queue; 0 goes first among equals.
+	priority int
 }
 
 // standing is what a job can still earn.
@@ -149,7 +151,8 @@
 
 func (c *Cell) rank(now time.Duration, s *step) ranked {
 	start := c.latestStart(s)
-	r := ranked{step: s, start: start, work: s.job.work}
+	queue, _ := c.catalogue.Queue(s.job.Queue)
+	r := ranked{step: s, start: start, work: s.job.work, priority: queue.Priority}
 	switch overdue := now - start; {
 	case overdue <= 0:
 	case overdue <= (lateFactor-1)*c.objective(s.job):
@@ -167,7 +170,7 @@
 	if r.standing == late {
 		byStart = cmp.Compare(r.work, other.work)
 	}
-	return cmp.Or(cmp.Compare(r.standing, other.standing), byStart,
+	return cmp.Or(cmp.Compare(r.standing, other.standing), byStart, cmp.Compare(r.priority, other.priority),
 		cmp.Compare(r.id.Job, other.id.Job), cmp.Compare(r.id.Step, other.id.Step), cmp.Compare(r.id.Occurrence, other.id.Occurrence))
 }
 
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -44,7 +44,7 @@
 }
 
 func options() cell.Options {
-	return cell.Options{Lease: 4 * second, StartLease: 2500 * ms, ClockSkew: 0.03, FarFactor: 2, GangTimeout: 3 * second, StopTime: 900 * ms}
+	return cell.Options{Lease: 4 * second, StartLease: 2500 * ms, ClockSkew: 0.03, StopTime: 900 * ms}
 }
 
 // catalogue has a plain queue, one with advice, and one whose tasks may fail twice.
--- a/front/host.go
+++ b/front/host.go
@@ -93,7 +93,7 @@
 func (h *Host) bounds() cell.Options {
 	return cell.Options{
 		Lease: min(leaseBound, h.settings.MaxLease), StartLease: min(startLease, h.settings.MaxLease), ClockSkew: clockSkew,
-		FarFactor: h.settings.FarFactor, GangTimeout: h.settings.GangTimeout, StopTime: h.settings.StopTime,
+		StopTime: h.settings.StopTime,
 	}
 }
 
