--- /dev/null
+++ b/scheduler/log.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+)
+
+// loadInterval is the pause between two lines about the load.
+const loadInterval = 2 * time.Second
+
+// tellLoad logs the load now and then.
+func (o *Owner) tellLoad(now time.Duration) {
+	if now-o.loadTold < loadInterval {
+		return
+	}
+	o.loadTold = now
+	l := o.cell.Load(now)
+	o.log.WithFields(logrus.Fields{
+		"jobs": l.Jobs, "workers": l.Usable, "processors": l.Capacity / 1000, "used": l.Used / 1000, "wanted": l.Wanted / 1000,
+		"steps": l.Steps, "gangs": l.Gangs, "unadvised": l.Unadvised, "questions": o.desk.Depth(), "commit_ms": o.commitMean.Milliseconds(),
+	}).Info("scheduler: load")
+}
+
+// write logs the notes of the cell.
+func (o *Owner) write(notes []cell.Note) {
+	for _, n := range notes {
+		fields := logrus.Fields{"fence": o.Fence()}
+		for name, value := range map[string]string{"job": n.Job, "task": n.Task, "worker": n.Worker, "why": n.Why} {
+			if value != "" {
+				fields[name] = value
+			}
+		}
+		if n.Run != 0 {
+			fields["run"] = n.Run
+		}
+		if n.Age != 0 {
+			fields["age_ms"] = n.Age.Milliseconds()
+		}
+		o.log.WithFields(fields).Info("cell: " + n.What)
+	}
+}
