--- /dev/null
+++ b/breakdown/breakdown_test.go
@@ -0,0 +1,36 @@
+package breakdown_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/breakdown"
+)
+
+const log = `{"msg":"cell: job submitted","job":"a","why":"q","time":"2026-12-04T03:00:00Z"}
+{"msg":"intake: call answered","job":"a","verb":"Submit","outcome":"Accepted","ms":40,"time":"2026-12-04T03:00:00Z"}
+{"msg":"cell: advice","job":"a","why":"3 of 9","age_ms":900,"time":"2026-12-04T03:00:01Z"}
+{"msg":"cell: advice","job":"a","why":"3 of 3","age_ms":900,"time":"2026-12-04T03:00:04Z"}
+not a line of a log
+{"msg":"cell: run ended","job":"a","why":"Failed","age_ms":1000,"time":"2026-12-04T03:00:06Z"}
+{"msg":"cell: run ended","job":"a","why":"Done","age_ms":1000,"time":"2026-12-04T03:00:09Z"}
+{"msg":"cell: job Done","job":"a","time":"2026-12-04T03:00:09Z"}
+{"msg":"cell: job submitted","job":"b","why":"q","time":"2026-12-04T03:00:02Z"}
+`
+
+func TestRead(t *testing.T) {
+	queues, err := breakdown.Read(strings.NewReader(log))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, queues, qt.HasLen, 1)
+	q := queues[0]
+	qt.Assert(t, q.Jobs, qt.Equals, 2)
+	qt.Assert(t, q.Ended, qt.DeepEquals, map[string]int{"Done": 1, "Open": 1})
+	qt.Assert(t, q.Runs, qt.DeepEquals, map[string]int{"Done": 1, "Failed": 1})
+	qt.Assert(t, q.Percentile(breakdown.Advice, 0.5), qt.Equals, time.Second)
+	qt.Assert(t, q.Percentile(breakdown.Room, 0.5), qt.Equals, 4*time.Second)
+	qt.Assert(t, q.Percentile(breakdown.Work, 0.5), qt.Equals, 4*time.Second)
+	qt.Assert(t, q.Percentile(breakdown.Acceptance, 0.9), qt.Equals, 40*time.Millisecond)
+}
--- a/cli/front.go
+++ b/cli/front.go
@@ -19,6 +19,9 @@
 // it is collected more often.
 const memoryShare = 0.6
 
+// timestampFormat has milliseconds, in which decisions follow one another.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // frontCommand runs an entry host on the users' platform.
 type frontCommand struct {
 	Check bool `help:"Check the settings and exit."`
@@ -47,7 +50,7 @@
 	output := lines.New(os.Stdout)
 	defer output.Close()
 	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	logger.SetOutput(output)
 	log := logger.WithField("host", settings.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/cli/run.go
+++ b/cli/run.go
@@ -7,21 +7,22 @@
 
 // commands is the command line; each subcommand has a file of its own.
 type commands struct {
-	Serve   serveCommand   `cmd:"" group:"hosts" help:"Run an entry host."`
-	Front   frontCommand   `cmd:"" group:"hosts" help:"Run an entry host on the users' platform."`
-	Check   checkCommand   `cmd:"" group:"hosts" help:"Check settings without starting anything."`
-	Submit  submitCommand  `cmd:"" group:"callers" help:"Submit a piece of work."`
-	Status  statusCommand  `cmd:"" group:"callers" help:"Ask what became of a piece of work."`
-	Answer  answerCommand  `cmd:"" group:"callers" help:"Wait for the final answer to a piece of work."`
-	Cancel  cancelCommand  `cmd:"" group:"callers" help:"End a piece of work."`
-	Show    showCommand    `cmd:"" group:"operators" help:"Print the configuration."`
-	Diff    diffCommand    `cmd:"" group:"operators" help:"Compare a file with the configuration."`
-	Apply   applyCommand   `cmd:"" group:"operators" help:"Replace the configuration."`
-	Quota   quotaCommand   `cmd:"" group:"operators" help:"Show or change what is set for a team."`
-	Drain   drainCommand   `cmd:"" group:"operators" help:"Keep new work from a worker or an entry host."`
-	Undrain undrainCommand `cmd:"" group:"operators" help:"Take a drain back."`
-	Dump    dumpCommand    `cmd:"" group:"operators" help:"Print the state of a process."`
-	Demo    demoCommand    `cmd:"" help:"Show a whole cell at work in one process."`
+	Serve     serveCommand     `cmd:"" group:"hosts" help:"Run an entry host."`
+	Front     frontCommand     `cmd:"" group:"hosts" help:"Run an entry host on the users' platform."`
+	Check     checkCommand     `cmd:"" group:"hosts" help:"Check settings without starting anything."`
+	Submit    submitCommand    `cmd:"" group:"callers" help:"Submit a piece of work."`
+	Status    statusCommand    `cmd:"" group:"callers" help:"Ask what became of a piece of work."`
+	Answer    answerCommand    `cmd:"" group:"callers" help:"Wait for the final answer to a piece of work."`
+	Cancel    cancelCommand    `cmd:"" group:"callers" help:"End a piece of work."`
+	Show      showCommand      `cmd:"" group:"operators" help:"Print the configuration."`
+	Diff      diffCommand      `cmd:"" group:"operators" help:"Compare a file with the configuration."`
+	Apply     applyCommand     `cmd:"" group:"operators" help:"Replace the configuration."`
+	Quota     quotaCommand     `cmd:"" group:"operators" help:"Show or change what is set for a team."`
+	Drain     drainCommand     `cmd:"" group:"operators" help:"Keep new work from a worker or an entry host."`
+	Undrain   undrainCommand   `cmd:"" group:"operators" help:"Take a drain back."`
+	Dump      dumpCommand      `cmd:"" group:"operators" help:"Print the state of a process."`
+	Breakdown breakdownCommand `cmd:"" group:"hosts" help:"Tell from logs where jobs spent their time."`
+	Demo      demoCommand      `cmd:"" help:"Show a whole cell at work in one process."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print or install completion for the shell."`
 }
--- /dev/null
+++ b/scheduler/export_test.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/ledger"
+)
+
+// Records is records for tests of this package.
+type Records = records
+
+// NewRecords returns empty records of a cell.
+func NewRecords(part string) *Records { return newRecords(part) }
+
+// Add takes a change of a job.
+func (r *records) Add(wall int64, c cell.Change) { r.add(wall, c) }
+
+// Take returns the rows to write.
+func (r *records) Take() ([]ledger.Change, error) { return r.take() }
+
+// Abandon forgets a job that was not taken yet.
+func (r *records) Abandon(id string) { r.abandon(id) }
+
+// Read takes a row that an earlier owner wrote.
+func (r *records) Read(row ledger.Row) error {
+	if row.Table == ledger.FinishedTable {
+		return r.finished.read(row)
+	}
+	return r.progress.read(row)
+}
+
+// Progress returns the progress of a job that is not over.
+func (r *records) Progress(id string) (cell.Progress, bool) { return r.progress.get(id) }
+
+// Finished reports whether a job is final.
+func (r *records) Finished(id string) bool {
+	_, ok := r.finished.get(id)
+	return ok
+}
--- /dev/null
+++ b/scheduler/record_test.go
@@ -0,0 +1,142 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/scheduler"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+func change(id string, state workload.State, runs int, isNew bool) cell.Change {
+	p := cell.Progress{State: state}
+	if runs > 0 {
+		s := cell.StepProgress{}
+		for i := range runs {
+			s.Tasks = append(s.Tasks, cell.TaskProgress{Run: 1, Runs: []cell.RunProgress{{Run: 1, Worker: fmt.Sprintf("worker-%d", i), Life: 1775216949216}}})
+		}
+		p.Steps = append(p.Steps, s)
+	}
+	return cell.Change{Job: workload.Job{ID: id, Queue: "q"}, New: isNew, Progress: p}
+}
+
+// table is what a store has after the changes of records.
+type table map[string]ledger.Row
+
+func (t table) apply(c *qt.C, r *scheduler.Records) (rows int) {
+	changes, err := r.Take()
+	c.Assert(err, qt.IsNil)
+	for _, change := range changes {
+		for _, row := range change.Writes {
+			t[row.Table+"/"+row.Key] = row
+			rows++
+		}
+		for _, row := range change.Removes {
+			delete(t, row.Table+"/"+row.Key)
+			rows++
+		}
+	}
+	return rows
+}
+
+// read returns the records of a new owner.
+func (t table) read(c *qt.C) *scheduler.Records {
+	r := scheduler.NewRecords("p")
+	for key, row := range t {
+		if !strings.HasPrefix(key, ledger.JobTable) {
+			c.Assert(r.Read(row), qt.IsNil)
+		}
+	}
+	return r
+}
+
+// A slow store must take what gathers in one transaction of 100 rows.
+func TestManyChangesTakeFewRows(t *testing.T) {
+	c := qt.New(t)
+	r, store := scheduler.NewRecords("p"), table{}
+	for i := range 300 {
+		r.Add(0, change(fmt.Sprintf("%016x", i), workload.Running, 6, false))
+	}
+	c.Assert(store.apply(c, r) <= 40, qt.IsTrue)
+	next := store.read(c)
+	for i := range 300 {
+		p, ok := next.Progress(fmt.Sprintf("%016x", i))
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(p.Steps[0].Tasks, qt.HasLen, 6)
+	}
+}
+
+// A row holds 64 KiB: a bucket that outgrows it has several pages, and gives them back.
+func TestLargeJobsShareNoRow(t *testing.T) {
+	c := qt.New(t)
+	r, store := scheduler.NewRecords("p"), table{}
+	for i := range 64 {
+		r.Add(0, change(fmt.Sprintf("%016x", i), workload.Running, workload.MaxTasks, false))
+	}
+	store.apply(c, r)
+	for key, row := range store {
+		c.Assert(len(row.Value) <= 64<<10, qt.IsTrue, qt.Commentf("row %s has %d bytes", key, len(row.Value)))
+	}
+	pages := len(store)
+	next := store.read(c)
+	for i := range 64 {
+		next.Add(0, change(fmt.Sprintf("%016x", i), workload.Running, 1, false))
+	}
+	store.apply(c, next)
+	c.Assert(len(store) < pages, qt.IsTrue)
+	last := store.read(c)
+	for i := range 64 {
+		p, ok := last.Progress(fmt.Sprintf("%016x", i))
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(p.Steps[0].Tasks, qt.HasLen, 1)
+	}
+}
+
+// A job that is final stays in the progress until its runs have ended, so that the next
+// owner knows what takes room.
+func TestFinalJobWithRunsIsKept(t *testing.T) {
+	c := qt.New(t)
+	r, store := scheduler.NewRecords("p"), table{}
+	r.Add(0, change("a", workload.Running, 2, true))
+	store.apply(c, r)
+	r.Add(0, change("a", workload.Cancelled, 2, false))
+	store.apply(c, r)
+	next := store.read(c)
+	_, ok := next.Progress("a")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(next.Finished("a"), qt.IsTrue)
+	next.Add(0, change("a", workload.Cancelled, 0, false))
+	store.apply(c, next)
+	_, ok = store.read(c).Progress("a")
+	c.Assert(ok, qt.IsFalse)
+	_, ok = store[ledger.JobTable+"/a"]
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestAbandonedJobLeavesNothing(t *testing.T) {
+	c := qt.New(t)
+	r, store := scheduler.NewRecords("p"), table{}
+	r.Add(0, change("a", workload.Queued, 0, true))
+	r.Abandon("a")
+	store.apply(c, r)
+	_, ok := store[ledger.JobTable+"/a"]
+	c.Assert(ok, qt.IsFalse)
+	_, ok = store.read(c).Progress("a")
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestGarbledRowsAreErrors(t *testing.T) {
+	r := scheduler.NewRecords("p")
+	for _, row := range []ledger.Row{
+		{Table: ledger.ProgressTable, Key: "100.0", Value: []byte("no")},
+		{Table: ledger.FinishedTable, Key: "7"},
+		{Table: ledger.ProgressTable, Key: "999.0", Value: []byte{0xa0}},
+	} {
+		qt.Check(t, r.Read(row), qt.IsNotNil, qt.Commentf("%v", row))
+	}
+}
