upkeep: waves of machines, one holder at a time, within their bound and the services' budgets

Orders carry the owner's token, begin lease_ms after a takeover, and stop when the last transaction is 1 s old.

--- /dev/null
+++ b/cell/evict.go
@@ -0,0 +1,58 @@
+package cell
+
+// Reserve keeps new work from the given workers, and from no others: their machines go
+// down next.
+func (c *Cell) Reserve(workers []string) {
+	reserved := map[string]bool{}
+	for _, id := range workers {
+		reserved[id] = true
+	}
+	for _, w := range c.order {
+		if w.reserved && !reserved[w.ID] {
+			c.stale = true
+		}
+		w.reserved = reserved[w.ID]
+	}
+}
+
+// Runs returns how many runs a worker has.
+func (c *Cell) Runs(worker string) int { return c.Busy(worker) }
+
+// MayEnd reports whether all runs of a worker may be ended now: no service loses more
+// tasks at once than its disruption budget allows.
+func (c *Cell) MayEnd(worker string) bool {
+	w := c.workers[worker]
+	if w == nil {
+		return true
+	}
+	ended := map[*step]int{}
+	for _, r := range w.runs {
+		if s, _ := c.find(r.id); s != nil && s.Daemon && r.state == running {
+			ended[s]++
+		}
+	}
+	for s, n := range ended {
+		if s.away()+n > s.DisruptionBudget {
+			return false
+		}
+	}
+	return true
+}
+
+// atWork is the progress of a daemon that serves, in percent.
+const atWork = 100
+
+// away counts the tasks of a service that are not at work.
+func (s *step) away() int {
+	n := 0
+	for _, t := range s.tasks {
+		serves := false
+		for _, r := range t.runs {
+			serves = serves || r.state == running && r.percent >= atWork
+		}
+		if !serves {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cell/evict_test.go
@@ -0,0 +1,40 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// Three tasks of a service on three workers, of which one may be away: one worker may
+// be emptied, and the next only once the task is at work elsewhere.
+func TestDisruptionBudget(t *testing.T) {
+	w := newWorld(3)
+	w.submit(job(id(1), "Plain", 3, func(s *workload.Step) {
+		s.Daemon, s.DisruptionBudget, s.MaxPerWorker = true, 1, 1
+	}))
+	serve := func() {
+		for _, f := range w.workers {
+			for i := range f.running {
+				f.running[i].Percent = 100
+			}
+		}
+		w.now += 100 * ms
+		w.reportAll()
+	}
+	serve()
+	qt.Assert(t, w.MayEnd("w0"), qt.IsTrue)
+	w.workers["w0"].endAll("Stopped")
+	w.Reserve([]string{"w0"})
+	w.now += 100 * ms
+	w.reportAll()
+	qt.Assert(t, w.MayEnd("w1"), qt.IsFalse)
+	qt.Assert(t, w.runningAll(), qt.Equals, 2)
+	w.Reserve(nil)
+	w.step()
+	qt.Assert(t, w.runningAll(), qt.Equals, 3)
+	serve()
+	qt.Assert(t, w.MayEnd("w1"), qt.IsTrue)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -43,6 +43,8 @@
 	// pace is the share of what fills, shared tells that services run beside it.
 	pace   pace.State
 	shared bool
+	// reserved tells that the worker's machine goes down next.
+	reserved bool
 	// strikes counts failures since the last success; the worker rests until
 	// restUntil.
 	strikes   int
@@ -75,7 +77,7 @@
 
 // usable reports whether a worker may get new work.
 func (w *worker) usable(now time.Duration) bool {
-	return !w.gone && !w.Draining && w.strangers == 0 && now >= w.strangersUntil && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
+	return !w.gone && !w.Draining && !w.reserved && w.strangers == 0 && now >= w.strangersUntil && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
 }
 
 // announced reports whether a worker may be asked about: it need not have been heard
--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,7 +40,10 @@
 	rows    *platformstandin.Rows
 	floor   *workerstandin.Floor
 	runners []*workerstandin.Runner
+	fleet   *platformstandin.Fleet
 	hosts   []*hostProcess
+	// addresses holds those of the runners.
+	addresses []string
 }
 
 // hostProcess is an entry host.
@@ -71,6 +75,10 @@
 	net1, net2 := 10+os.Getpid()%200, networks.n
 	networks.Unlock()
 	d := &deployment{t: t, rows: platformstandin.NewRows(), floor: &workerstandin.Floor{}}
+	d.fleet = platformstandin.NewFleet(400 * time.Millisecond)
+	d.fleet.Restart = d.restart
+	machines := httptest.NewServer(d.fleet.Handler())
+	t.Cleanup(machines.CloseClientConnections)
 	store := httptest.NewServer(d.rows.Handler())
 	advisor := httptest.NewServer(workerstandin.Advisor())
 	t.Cleanup(store.CloseClientConnections)
@@ -90,8 +98,8 @@
 			"limits":    map[string]any{"memory_mb": 284},
 			"platform":  map[string]any{"addr": strings.TrimPrefix(store.URL, "http://"), "form": "table", "row_bytes": 65536},
 			"advice":    strings.TrimPrefix(advisor.URL, "http://"),
-			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120},
-			"cloud_api": map[string]any{}, "orders": "call", "heartbeat_ms": 1500,
+			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120, "maintenance_s": 0.4, "lease_ms": 500},
+			"cloud_api": map[string]any{"addr": strings.TrimPrefix(machines.URL, "http://")}, "orders": "call", "heartbeat_ms": 1500,
 		})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, os.WriteFile(h.settings, content, 0o600), qt.IsNil)
@@ -116,9 +124,24 @@
 	server := httptest.NewServer(r.Handler())
 	d.t.Cleanup(server.CloseClientConnections)
 	d.runners = append(d.runners, r)
-	d.rows.Put("servers", r.ID, []byte(fmt.Sprintf(
+	d.addresses = append(d.addresses, strings.TrimPrefix(server.URL, "http://"))
+	d.fleet.Add(fmt.Sprintf("m%d", i), r.ID)
+	d.announce(i)
+}
+
+// announce writes the row of a worker.
+func (d *deployment) announce(i int) {
+	d.rows.Put("servers", d.runners[i].ID, []byte(fmt.Sprintf(
 		`{"service":"s","addr":%q,"zone":"z","slots":8,"state":"ready","capacity":{"cpu":8000,"mem_mb":8000},"labels":["a","r1"],"born":%d,"seq":1}`,
-		strings.TrimPrefix(server.URL, "http://"), time.Now().UnixMilli())))
+		d.addresses[i], time.Now().UnixMilli())))
+}
+
+// restart brings a machine back with another life of its worker.
+func (d *deployment) restart(machine string) {
+	i, err := strconv.Atoi(strings.TrimPrefix(machine, "m"))
+	qt.Check(d.t, err, qt.IsNil)
+	d.runners[i].Restart()
+	d.announce(i)
 }
 
 func (d *deployment) start(h *hostProcess) {
@@ -359,3 +382,23 @@
 	d.await("work of the silent worker goes on", func() bool { return d.floor.Starts() > 6 })
 	d.awaitDone(d.hosts[0], "plain", 1, 2)
 }
+
+// Each machine of a wave has its upkeep in time, one at once, also while the owner is
+// killed and answers are lost, and no work is lost.
+func TestWaveOfUpkeep(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	for n := range 6 {
+		d.submit(d.hosts[n%3], "plain", n, 6)
+	}
+	d.fleet.Lose(1)
+	d.rows.Put("op", "wave/7", []byte(`{"wave":7,"machines":["m0","m1","m2"],"within_s":12,"max_count":1}`))
+	d.await("a machine is down", func() bool { return d.fleet.Most() > 0 })
+	owner := d.owner()
+	owner.kill()
+	d.await("the wave is done", func() bool { return strings.Contains(string(d.rows.Value("status", "wave/7")), `"done"`) })
+	for _, m := range []string{"m0", "m1", "m2"} {
+		qt.Check(t, d.fleet.Had(m, 7), qt.IsTrue)
+	}
+	qt.Assert(t, d.fleet.Most(), qt.Equals, 1)
+	d.awaitDone(d.other(owner), "plain", 0, 6)
+}
--- a/front/host.go
+++ b/front/host.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/tenure"
+	"github.com/vanillaquay/vanillaquay/upkeep"
 )
 
 // cellName is the one cell of a deployment of this size.
@@ -43,6 +44,7 @@
 	store       *platform.Store
 	orders      *platform.Orders
 	advisor     *platform.Advisor
+	machines    *platform.Machines
 	hub         *peer.Hub
 	members     members
 	desk        *intake.Desk
@@ -67,6 +69,8 @@
 	// near tells that the store stands in this region.
 	near  bool
 	owner *scheduler.Owner
+	// waves holds the waves of the operator by their number.
+	waves map[int64]upkeep.Wave
 }
 
 // asked is a question with the host that wants to know.
@@ -80,6 +84,7 @@
 	h := &Host{
 		settings: settings, log: log, incarnation: uuid.NewString()[:8],
 		store: platform.NewStore(settings.StoreAddress), orders: platform.NewOrders(), advisor: platform.NewAdvisor(settings.AdviceAddress),
+		machines: platform.NewMachines(settings.MachinesAddress), waves: map[int64]upkeep.Wave{},
 		questions: ring.New[asked](questionRing),
 	}
 	h.members = members{known: map[string]member{}, changed: h.connect}
@@ -154,10 +159,31 @@
 	}
 }
 
+// takeWave takes a wave of the operator, and reports whether a row is one.
+func (h *Host) takeWave(r ledger.Row) bool {
+	w, isWave, err := platform.DecodeWave(r)
+	if err != nil {
+		h.log.WithField("why", err.Error()).Warn("front: wave ignored")
+		return true
+	}
+	if !isWave {
+		return false
+	}
+	h.mu.Lock()
+	h.waves[w.Number] = w
+	o := h.owner
+	h.mu.Unlock()
+	h.log.WithFields(logrus.Fields{"wave": w.Number, "machines": len(w.Machines), "within_ms": w.Within.Milliseconds()}).Info("front: wave of upkeep")
+	if o != nil {
+		o.SetWave(w)
+	}
+	return true
+}
+
 // watchCatalogue follows the operator's queues.
 func (h *Host) watchCatalogue(ctx context.Context) {
 	take := func(r ledger.Row) {
-		if r.Key != platform.CatalogueKey || r.Deleted {
+		if h.takeWave(r) || r.Key != platform.CatalogueKey || r.Deleted {
 			return
 		}
 		c, err := platform.DecodeCatalogue(r)
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -184,9 +184,13 @@
 	catalogue, _ := h.desk.Catalogue()
 	o := scheduler.New(scheduler.Options{
 		Cell: cellName, Bound: h.bounds(), StatusKept: h.settings.StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
-	}, l, h.store, h.orders, h, &h.count, h.log)
+		Holder: h.settings.Host, UpkeepTime: h.settings.UpkeepTime, TurnPause: h.settings.TurnPause,
+	}, l, h.store, h.orders, h.machines, h, &h.count, h.log)
 	h.mu.Lock()
 	h.owner = o
+	for _, w := range h.waves {
+		o.SetWave(w)
+	}
 	h.mu.Unlock()
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
 		return w.WithLease(now, h.settings.Host, l.Fence())
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,8 @@
 	JobTable      = "job"
 	ProgressTable = "progress"
 	FinishedTable = "finished"
+	// WaveTable holds a row for each wave of upkeep.
+	WaveTable = "wave"
 	// MemberTable holds a row for each entry host.
 	MemberTable = "member"
 )
--- /dev/null
+++ b/platformstandin/fleet.go
@@ -0,0 +1,143 @@
+package platformstandin
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Fleet is a stand-in of the users' service of machines. Use NewFleet to make one.
+type Fleet struct {
+	// Length is how long a machine is down, Restart is called as it comes back.
+	Length  time.Duration
+	Restart func(machine string)
+
+	mu       sync.Mutex
+	machines map[string]*fleetMachine
+	// most is the largest number of machines that were down at once.
+	most int
+	lose int
+}
+
+type fleetMachine struct {
+	worker string
+	down   bool
+	had    map[int64]bool
+}
+
+// NewFleet returns a fleet without machines.
+func NewFleet(length time.Duration) *Fleet {
+	return &Fleet{Length: length, machines: map[string]*fleetMachine{}}
+}
+
+// Add adds a machine with its worker.
+func (f *Fleet) Add(machine, worker string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines[machine] = &fleetMachine{worker: worker, had: map[int64]bool{}}
+}
+
+// Lose makes the fleet carry a number of orders out without an answer.
+func (f *Fleet) Lose(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = n
+}
+
+// Most returns the largest number of machines that were down at once.
+func (f *Fleet) Most() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.most
+}
+
+// Had reports whether a machine has had its upkeep for a wave.
+func (f *Fleet) Had(machine string, wave int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machines[machine].had[wave]
+}
+
+// Handler returns the interface of the service.
+func (f *Fleet) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/vanillaquay/machines", f.list)
+	r.Post("/vanillaquay/machine-upkeep", f.upkeep)
+	return r
+}
+
+func (f *Fleet) list(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	type row struct {
+		Machine string `json:"machine"`
+		State   string `json:"state"`
+		ID      string `json:"id"`
+	}
+	rows := []row{}
+	for id, m := range f.machines {
+		state := "up"
+		if m.down {
+			state = "upkeep"
+		}
+		rows = append(rows, row{id, state, m.worker})
+	}
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Compare(a.Machine, b.Machine) })
+	// An error here means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": rows, "next_token": nil})
+}
+
+func (f *Fleet) upkeep(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Machine string `json:"machine"`
+		Wave    int64  `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || r.Header.Get("Lease-Holder") == "" || r.Header.Get("Fencing-Token") == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[order.Machine]
+	switch {
+	case m == nil:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case m.had[order.Wave]:
+		return
+	case m.down:
+		w.WriteHeader(http.StatusConflict)
+		// An error here means that the caller has gone.
+		_ = json.NewEncoder(w).Encode(map[string]string{"reason": "busy"})
+		return
+	}
+	f.takeDown(order.Machine, m, order.Wave)
+	if f.lose > 0 {
+		f.lose--
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (f *Fleet) takeDown(id string, m *fleetMachine, wave int64) {
+	m.down, m.had[wave] = true, true
+	down := 0
+	for _, each := range f.machines {
+		if each.down {
+			down++
+		}
+	}
+	f.most = max(f.most, down)
+	time.AfterFunc(f.Length, func() {
+		if f.Restart != nil {
+			f.Restart(id)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		m.down = false
+	})
+}
--- a/platformstandin/rows.go
+++ b/platformstandin/rows.go
@@ -72,6 +72,13 @@
 	s.apply([]wireRow{{Table: table, Key: key, Value: encode(value)}}, nil)
 }
 
+// Value returns the value of a row without a part, or nil.
+func (s *Rows) Value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return decode(s.rows[rowKey{table: table, key: key}].Value)
+}
+
 // Remove drops a row as the platform would.
 func (s *Rows) Remove(table, key string) {
 	s.mu.Lock()
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/ring"
+	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -36,6 +37,11 @@
 	// PatienceOfEarlier is how long an earlier owner may give orders after its
 	// last renewal.
 	PatienceOfEarlier time.Duration
+	// Holder names this host to the service of machines.
+	Holder string
+	// UpkeepTime is how long a machine is down for its upkeep, TurnPause how long
+	// after a takeover no machine gets an order.
+	UpkeepTime, TurnPause time.Duration
 }
 
 // event is something that happened, to be taken by the decision duty.
@@ -48,8 +54,10 @@
 	store   ledger.Store
 	workers Workers
 	members Members
-	log     *logrus.Entry
-	count   *Counters
+	// machines is the service of machines.
+	machines Machines
+	log      *logrus.Entry
+	count    *Counters
 
 	events *ring.Ring[event]
 	cell   *cell.Cell
@@ -60,6 +68,7 @@
 	// catalogue is a version of the operator's queues that is not in force yet.
 	catalogue atomic.Pointer[workload.Catalogue]
 	records   *records
+	waves     waves
 	// fresh holds who waits for the acceptance of jobs that are in no transaction
 	// yet.
 	fresh map[string][]func(intake.Reply)
@@ -91,11 +100,13 @@
 }
 
 // New returns the owner of the cell that a ledger was taken for.
-func New(options Options, l *ledger.Ledger, store ledger.Store, workers Workers, members Members, count *Counters, log *logrus.Entry) *Owner {
+func New(options Options, l *ledger.Ledger, store ledger.Store, workers Workers, machines Machines, members Members, count *Counters, log *logrus.Entry) *Owner {
 	return &Owner{
-		options: options, ledger: l, store: store, workers: workers, members: members, log: log, count: count,
+		options: options, ledger: l, store: store, workers: workers, machines: machines, members: members, log: log, count: count,
 		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{},
-		records: newRecords(options.Cell), fresh: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}), fenced: make(chan struct{}),
+		records: newRecords(options.Cell),
+		waves:   waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](statusRing)},
+		fresh:   map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}), fenced: make(chan struct{}),
 	}
 }
 
@@ -159,6 +170,13 @@
 		return errors.Annotate(err, "recovery")
 	}
 	o.commitEnded.Store(int64(clock.Now()))
+	for _, duty := range []func(context.Context){o.watchWorkers, o.tend, o.tellWaves} {
+		o.group.Add(1)
+		go func() {
+			defer o.group.Done()
+			duty(ctx)
+		}()
+	}
 	return o.decide(ctx)
 }
 
@@ -181,6 +199,7 @@
 		case <-tick.C:
 			o.cell.Tick(clock.Now(), time.Now().UnixMilli())
 			o.abandonFresh(clock.Now())
+			o.takeWaves(clock.Now())
 			o.prune(clock.Now())
 			o.tellLoad(clock.Now())
 		case <-pace.C:
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -8,6 +8,7 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -31,6 +32,8 @@
 	finished book[finished]
 	created  []workload.Job
 	removals []string
+	// waves holds the progress of waves that has changed.
+	waves []upkeep.Progress
 }
 
 func newRecords(part string) *records {
@@ -67,7 +70,7 @@
 
 // empty reports whether nothing has to be written soon.
 func (r *records) empty() bool {
-	return len(r.created) == 0 && r.progress.empty() && r.finished.empty()
+	return len(r.created) == 0 && len(r.waves) == 0 && r.progress.empty() && r.finished.empty()
 }
 
 // take returns the rows to write. They may be split between transactions at any
@@ -92,6 +95,12 @@
 		return nil, err
 	}
 	changes = append(append(changes, final...), progress...)
+	wave, err := waveChanges(r.part, r.waves)
+	if err != nil {
+		return nil, err
+	}
+	r.waves = nil
+	changes = append(changes, wave...)
 	n := min(len(r.removals), removalsMost)
 	for _, id := range r.removals[:n] {
 		changes = append(changes, ledger.Change{Removes: []ledger.Row{{Table: ledger.JobTable, Part: r.part, Key: id}}})
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -39,6 +39,7 @@
 	})
 	reads.Go(func() error { return recoverBook(readContext, o, &o.records.finished) })
 	reads.Go(func() error { return recoverBook(readContext, o, &o.records.progress) })
+	reads.Go(func() error { return o.recoverWaves(readContext) })
 	if err := reads.Wait(); err != nil {
 		return errors.Trace(err)
 	}
@@ -56,11 +57,6 @@
 	o.log.WithFields(logrus.Fields{
 		"fence": o.Fence(), "jobs": o.cell.Jobs(), "finished": o.records.finished.len(), "workers": o.cell.Workers(), "ms": (clock.Now() - begun).Milliseconds(),
 	}).Info("scheduler: recovered")
-	o.group.Add(1)
-	go func() {
-		defer o.group.Done()
-		o.watchWorkers(ctx)
-	}()
 	return nil
 }
 
--- /dev/null
+++ b/upkeep/planner_test.go
@@ -0,0 +1,154 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaquay/vanillaquay/upkeep"
+)
+
+const second = time.Second
+
+// floor is a number of machines and what runs on them.
+type floor struct {
+	list []upkeep.Machine
+	runs map[string]int
+	kept map[string]bool
+	back map[string]time.Duration
+}
+
+func newFloor(n int) *floor {
+	f := &floor{runs: map[string]int{}, kept: map[string]bool{}, back: map[string]time.Duration{}}
+	for i := range n {
+		f.list = append(f.list, upkeep.Machine{ID: fmt.Sprintf("m%d", i), Worker: fmt.Sprintf("w%d", i), State: upkeep.Up})
+	}
+	return f
+}
+
+func (f *floor) Runs(worker string) int    { return f.runs[worker] }
+func (f *floor) MayEnd(worker string) bool { return !f.kept[worker] }
+func (f *floor) find(id string) *upkeep.Machine {
+	for i := range f.list {
+		if f.list[i].ID == id {
+			return &f.list[i]
+		}
+	}
+	return nil
+}
+
+// tick brings machines back whose upkeep is over.
+func (f *floor) tick(now time.Duration) (down int) {
+	for i := range f.list {
+		if f.list[i].State == upkeep.Down && now >= f.back[f.list[i].ID] {
+			f.list[i].State = upkeep.Up
+		}
+		if f.list[i].State == upkeep.Down {
+			down++
+		}
+	}
+	return down
+}
+
+func ids(f *floor) []string {
+	var list []string
+	for _, m := range f.list {
+		list = append(list, m.ID)
+	}
+	return list
+}
+
+func TestWaveIsDoneInTime(t *testing.T) {
+	f := newFloor(6)
+	f.runs["w0"] = 3
+	p := upkeep.New(2 * second)
+	p.SetWave(0, upkeep.Wave{Number: 1, Machines: ids(f), Within: 30 * second, MaxDown: 2})
+	order := []string{}
+	now := time.Duration(0)
+	for ; p.Active() && now < 60*second; now += 500 * time.Millisecond {
+		f.tick(now)
+		p.SetMachines(now, f.list)
+		orders, _ := p.Step(now, f)
+		for _, o := range orders {
+			f.find(o.Machine).State = upkeep.Down
+			f.back[o.Machine] = now + 2*second
+			p.Answered(now, o, upkeep.Begun)
+			order = append(order, o.Machine)
+		}
+		qt.Assert(t, f.tick(now) <= 2, qt.IsTrue)
+	}
+	qt.Assert(t, now < 30*second, qt.IsTrue)
+	qt.Assert(t, order, qt.HasLen, 6)
+	// The one at work goes last.
+	qt.Assert(t, order[5], qt.Equals, "m0")
+	changes := p.Changes()
+	qt.Assert(t, changes[len(changes)-1].Done, qt.IsTrue)
+}
+
+// A machine with a service that can't spare its tasks is not taken down.
+func TestServiceThatCanSpareNothingStays(t *testing.T) {
+	f := newFloor(1)
+	f.runs["w0"], f.kept["w0"] = 1, true
+	p := upkeep.New(2 * second)
+	p.SetWave(0, upkeep.Wave{Number: 1, Machines: ids(f), Within: 5 * second, MaxDown: 1})
+	for now := time.Duration(0); now < 30*second; now += second {
+		p.SetMachines(now, f.list)
+		orders, reserved := p.Step(now, f)
+		qt.Assert(t, orders, qt.HasLen, 0)
+		qt.Assert(t, reserved, qt.DeepEquals, []string{"w0"})
+	}
+}
+
+// A new owner counts the machines that have begun as down until a list of its own has
+// them up.
+func TestRestoredWaveKeepsItsBound(t *testing.T) {
+	f := newFloor(3)
+	p := upkeep.New(2 * second)
+	p.SetWave(0, upkeep.Wave{Number: 1, Machines: ids(f), Within: 30 * second, MaxDown: 1})
+	p.Restore(0, upkeep.Progress{Wave: 1, Begun: []string{"m1"}})
+	p.SetMachines(0, f.list)
+	orders, _ := p.Step(0, f)
+	qt.Assert(t, orders, qt.HasLen, 0)
+	p.SetMachines(3*second, f.list)
+	orders, _ = p.Step(3*second, f)
+	qt.Assert(t, orders, qt.DeepEquals, []upkeep.Order{{Wave: 1, Machine: "m0"}})
+}
+
+// Whatever becomes of orders, no more machines are down than a wave allows, and no
+// wave is done before each machine that stays has begun.
+func TestWavesUnderRandomAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFloor(rapid.IntRange(1, 8).Draw(t, "machines"))
+		most := rapid.IntRange(1, 3).Draw(t, "most")
+		p := upkeep.New(2 * second)
+		p.SetWave(0, upkeep.Wave{Number: 1, Machines: ids(f), Within: 20 * second, MaxDown: most})
+		had := map[string]bool{}
+		for now := time.Duration(0); now < 200*second && p.Active(); now += 500 * time.Millisecond {
+			f.tick(now)
+			p.SetMachines(now, f.list)
+			orders, _ := p.Step(now, f)
+			for _, o := range orders {
+				m := f.find(o.Machine)
+				answer := rapid.SampledFrom([]upkeep.Answer{upkeep.Begun, upkeep.Begun, upkeep.Busy, upkeep.Unknown}).Draw(t, "answer")
+				carriedOut := answer == upkeep.Begun || answer == upkeep.Unknown && rapid.Bool().Draw(t, "carried out")
+				if carriedOut && !had[m.ID] {
+					had[m.ID] = true
+					m.State, f.back[m.ID] = upkeep.Down, now+2*second
+					if down := f.tick(now); down > most {
+						t.Fatalf("LIMIT: %d machines are down", down)
+					}
+				}
+				p.Answered(now, o, answer)
+			}
+		}
+		if p.Active() {
+			t.Fatalf("the wave is not done")
+		}
+		if len(had) != len(f.list) {
+			t.Fatalf("MIXED: done with %d of %d machines", len(had), len(f.list))
+		}
+	})
+}
--- a/workerstandin/runner.go
+++ b/workerstandin/runner.go
@@ -57,6 +57,18 @@
 	r.runs, r.refused, r.changed = map[string]*runnerRun{}, map[string]int{}, make(chan struct{})
 }
 
+// Restart ends all that runs, and begins another life that knows nothing of it.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	for task, run := range r.runs {
+		run.timer.Stop()
+		r.Floor.end(task, false)
+	}
+	r.ended, r.number, r.fence = nil, 0, 0
+	r.mu.Unlock()
+	r.Start()
+}
+
 // Silence makes the worker answer nothing, or speak again.
 func (r *Runner) Silence(on bool) {
 	r.mu.Lock()
