--- a/cell/evict.go
+++ b/cell/evict.go
@@ -15,9 +15,6 @@
 	}
 }
 
-// Runs returns how many runs a worker has.
-func (c *Cell) Runs(worker string) int { return c.Busy(worker) }
-
 // MayEnd reports whether all runs of a worker may be ended now: no service loses more
 // tasks at once than its disruption budget allows.
 func (c *Cell) MayEnd(worker string) bool {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -136,8 +136,8 @@
 	return w.granted + c.options.Lease + time.Duration(float64(c.options.Lease)*c.options.ClockSkew) + leaseMargin
 }
 
-// Busy reports whether a worker has runs, and how many.
-func (c *Cell) Busy(id string) int {
+// Runs returns how many runs a worker has.
+func (c *Cell) Runs(id string) int {
 	if w := c.workers[id]; w != nil {
 		return len(w.runs)
 	}
--- a/front/host.go
+++ b/front/host.go
@@ -201,11 +201,6 @@
 	}
 	ledger.Watch{
 		Store: h.store, Table: platform.OperatorTable,
-		List: func(rows []ledger.Row) {
-			for _, r := range rows {
-				take(r)
-			}
-		},
 		Change: take,
 		Failed: func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
 	}.Run(ctx)
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -77,11 +77,6 @@
 			}
 		}},
 		Table: ledger.LeaseTable, Part: cellName, Wait: leaseWait,
-		List: func(rows []ledger.Row) {
-			for _, r := range rows {
-				take(r)
-			}
-		},
 		Change: take,
 		Alive: func() {
 			h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher { return w.WithStoreHeard(now) })
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -84,9 +84,6 @@
 
 // Ledger writes the rows of one cell on behalf of one owner. Use Take to make one.
 type Ledger struct {
-	// Transactions counts the calls to commit.
-	Transactions int64
-
 	store Store
 	cell  string
 	owner string
@@ -180,7 +177,6 @@
 	}
 	pause := firstRetry
 	for {
-		l.Transactions++
 		version, err := l.store.Commit(ctx, t)
 		if err == nil {
 			l.version = version
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -27,7 +27,8 @@
 	Pause time.Duration
 	// Wait is how long a call waits for a change; 0 is feedWait.
 	Wait time.Duration
-	// List takes all rows, at first and whenever history is gone.
+	// List takes all rows, at first and whenever history is gone; nil hands each
+	// of them to Change.
 	List func(rows []Row)
 	// Change takes a row that has changed.
 	Change func(row Row)
@@ -74,7 +75,13 @@
 	if err != nil {
 		return 0, err
 	}
-	w.List(rows)
+	if w.List != nil {
+		w.List(rows)
+		return version, nil
+	}
+	for _, r := range rows {
+		w.Change(r)
+	}
 	return version, nil
 }
 
