rackowner, partition, entry: a rack that was passed on unbegun does not wait for a lease

The new owner looks for the digest of epoch 2, which nobody ever told, and takes the list of workers as complete only when it has seen it for a lease (16.5 s; the deadline is 15 s), so that an attempt whose start was under way stays unsettled for so long.

The owner row now counts the epochs under which nobody decided. Found on the way: an owner that did not know all workers itself told a digest that the next owner took as complete, and could say of an attempt on a worker that neither knows that it never ran; the digest now says that it is partial.

Both tests fail with either line taken out. Ruled out: a lost answer (the two answers are of one try and its repeat at two hosts).

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -13,7 +13,7 @@
 
 // takeOver claims a thing that nobody decides for.
 func (h *Host) takeOver(ctx context.Context, t thing, self member.Member) error {
-	claim, err := h.claim(ctx, t, self)
+	claim, err := h.claim(ctx, t, self, h.owners.Take)
 	if errors.Is(err, tablestore.ErrConflict) {
 		return nil
 	}
@@ -27,10 +27,14 @@
 // handOver stops to decide for a thing and then names its next owner in the
 // table, which begins at its next look.
 func (h *Host) handOver(ctx context.Context, t thing, to member.Member) error {
+	write := h.owners.Take
+	if t.epoch < h.owners.Of(t.key).Epoch {
+		write = h.owners.Pass
+	}
 	if t.epoch > 0 {
 		t.give(t.name)
 	}
-	claim, err := h.claim(ctx, t, to)
+	claim, err := h.claim(ctx, t, to, write)
 	if err != nil && !errors.Is(err, tablestore.ErrConflict) {
 		return err
 	}
@@ -39,14 +43,17 @@
 	return nil
 }
 
+// claimWriter is one of the ways to write an owner row.
+type claimWriter func(context.Context, tablestore.Table, string, member.Member) (partition.Claim, error)
+
 // claim writes an owner row at the pace of claims.
-func (h *Host) claim(ctx context.Context, t thing, m member.Member) (partition.Claim, error) {
+func (h *Host) claim(ctx context.Context, t thing, m member.Member, write claimWriter) (partition.Claim, error) {
 	if err := h.owning.pace.Wait(ctx); err != nil {
 		return partition.Claim{}, errors.Trace(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return h.owners.Take(ctx, h.platform, t.key, m)
+	return write(ctx, h.platform, t.key, m)
 }
 
 // releaseAll hands over everything that this host owns, to the members that are
--- a/entry/journals.go
+++ b/entry/journals.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/vanillaquay/vanillaquay/decision"
+	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/record"
 	"github.com/vanillaquay/vanillaquay/tablestore"
 	"github.com/vanillaquay/vanillaquay/wal"
@@ -48,11 +49,11 @@
 }
 
 // open begins the duty of a partition under a new epoch.
-func (j *journals) open(name string, epoch uint64) {
+func (j *journals) open(name string, claim partition.Claim) {
 	j.drop(name)
-	k := &journalKeeper{background: newBackground(), journals: j, partition: name, epoch: epoch}
+	k := &journalKeeper{background: newBackground(), journals: j, partition: name, epoch: claim.Epoch}
 	store := wal.Store{Table: j.host.platform, Objects: j.host.platform}
-	k.duty = wal.NewDuty(store, name, j.host.name, epoch, j.pace, k)
+	k.duty = wal.NewDuty(store, name, j.host.name, claim.Epoch, j.pace, k)
 	j.mu.Lock()
 	j.keepers[name] = k
 	j.share()
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -75,7 +75,7 @@
 	name, key string
 	// epoch is that under which this host decides for it; 0 if it does not.
 	epoch uint64
-	take  func(name string, epoch uint64)
+	take  func(name string, claim partition.Claim)
 	give  func(name string)
 }
 
@@ -269,7 +269,7 @@
 		return
 	}
 	h.log.Infof("Ownership: owns %s under epoch %d.", t.key, claim.Epoch)
-	t.take(t.name, claim.Epoch)
+	t.take(t.name, claim)
 }
 
 // jitter spreads a pause over nine tenths to all of its length.
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/partition"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/rackowner"
@@ -130,12 +131,12 @@
 }
 
 // claim begins to decide for a rack.
-func (d *rackDuty) claim(name string, epoch uint64) {
+func (d *rackDuty) claim(name string, claim partition.Claim) {
 	d.mu.Lock()
-	d.owned[name] = epoch
+	d.owned[name] = claim.Epoch
 	d.mu.Unlock()
-	d.host.witnesses.registry.Note(map[string]uint64{name: epoch})
-	d.put(func(now time.Time) { d.owner.Claim(now, name, epoch) })
+	d.host.witnesses.registry.Note(map[string]uint64{name: claim.Epoch})
+	d.put(func(now time.Time) { d.owner.ClaimAfter(now, name, claim.Epoch, claim.Before()) })
 }
 
 // release stops deciding for a rack and returns when nothing more is sent.
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -28,8 +28,15 @@
 	Instance string `json:"Instance"`
 	// Epoch rises with every change of owner.
 	Epoch uint64 `json:"Epoch"`
+	// Unused is the number of epochs right before this one under which nobody decided:
+	// the owner that was named passed the thing on.
+	Unused uint64 `json:"Unused,omitempty"`
 }
 
+// Before returns the highest epoch under which an earlier owner may have decided; 0 is
+// none.
+func (c Claim) Before() uint64 { return c.Epoch - min(c.Epoch, c.Unused+1) }
+
 // DecodeClaim reads the value of an owner row.
 func DecodeClaim(value []byte) (Claim, error) {
 	var c Claim
@@ -106,6 +113,14 @@
 	return claim, o.put(ctx, table, key, claim, old.version)
 }
 
+// Pass makes a member the owner like Take, in place of one that has not begun to decide
+// under the present epoch and won't.
+func (o *Owners) Pass(ctx context.Context, table tablestore.Table, key string, m member.Member) (Claim, error) {
+	old := o.held(key)
+	claim := Claim{Owner: m.ID, Instance: m.Instance, Epoch: old.claim.Epoch + 1, Unused: old.claim.Unused + 1}
+	return claim, o.put(ctx, table, key, claim, old.version)
+}
+
 // Release gives the thing up, so that its next owner need not wait.
 func (o *Owners) Release(ctx context.Context, table tablestore.Table, key string) error {
 	old := o.held(key)
--- a/partition/claim_test.go
+++ b/partition/claim_test.go
@@ -169,3 +169,24 @@
 		}
 	})
 }
+
+// TestPassedClaimTellsWhoMayHaveDecided passes a thing on twice before anyone decides
+// for it, which the next owner but one learns from the row.
+func TestPassedClaimTellsWhoMayHaveDecided(t *testing.T) {
+	c, ctx, table := qt.New(t), t.Context(), platformstandin.New().Direct()
+	var owners partition.Owners
+	first, err := owners.Take(ctx, table, claimKey, member.Member{ID: "e1", Instance: "a"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Before(), qt.Equals, uint64(0))
+	for i, passed := range []string{"e2", "e3"} {
+		claim, err := owners.Pass(ctx, table, claimKey, member.Member{ID: passed, Instance: "a"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(claim.Epoch, qt.Equals, uint64(i+2))
+		c.Assert(claim.Before(), qt.Equals, uint64(0))
+	}
+	c.Assert(owners.Refresh(ctx, table), qt.IsNil)
+	c.Assert(owners.Of(claimKey).Before(), qt.Equals, uint64(0))
+	next, err := owners.Take(ctx, table, claimKey, member.Member{ID: "e4", Instance: "a"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.Before(), qt.Equals, uint64(3))
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -36,6 +36,8 @@
 	Gone []string `cbor:"8,keyasint,omitempty"`
 	// DoubtBelow is as in the digest.
 	DoubtBelow uint64 `cbor:"9,keyasint,omitempty"`
+	// Partial is as in the digest.
+	Partial bool `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerChange is what one worker has left. An absent State, Capacity or
@@ -51,7 +53,7 @@
 // ChangeOf returns what leads from an older digest to a newer one of the same
 // rack. The zero digest leads to a whole one.
 func ChangeOf(older, newer rack.Digest) DigestChange {
-	c := DigestChange{Rack: newer.Rack, Epoch: newer.Epoch, Sequence: newer.Sequence, DoubtBelow: newer.DoubtBelow}
+	c := DigestChange{Rack: newer.Rack, Epoch: newer.Epoch, Sequence: newer.Sequence, DoubtBelow: newer.DoubtBelow, Partial: newer.Partial}
 	if older.Epoch != newer.Epoch || older.Sequence == 0 {
 		c.Region, c.Zone = newer.Region, newer.Zone
 		older = rack.Digest{}
@@ -92,7 +94,7 @@
 // Apply returns the digest that follows on an older one, or false if the change
 // does not fit it and a whole digest is needed.
 func (c DigestChange) Apply(older rack.Digest) (rack.Digest, bool) {
-	newer := rack.Digest{Rack: c.Rack, Region: c.Region, Zone: c.Zone, Epoch: c.Epoch, Sequence: c.Sequence, DoubtBelow: c.DoubtBelow}
+	newer := rack.Digest{Rack: c.Rack, Region: c.Region, Zone: c.Zone, Epoch: c.Epoch, Sequence: c.Sequence, DoubtBelow: c.DoubtBelow, Partial: c.Partial}
 	if c.Base != 0 {
 		if older.Epoch != c.Epoch || older.Sequence != c.Base {
 			return rack.Digest{}, false
--- a/rack/digest.go
+++ b/rack/digest.go
@@ -44,6 +44,9 @@
 	// which the next owner can't know: those that were asked for under a lower
 	// one. 0 is no doubt.
 	DoubtBelow uint64 `cbor:"7,keyasint,omitempty"`
+	// Partial tells that Workers may lack some on which an attempt may run: the owner
+	// does not know all that the one before it had.
+	Partial bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Newer reports whether d replaces an older digest o of the same rack.
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -32,6 +32,7 @@
 	name, region, zone string
 	epoch, sequence    uint64
 	doubtBelow         uint64
+	partial            bool
 	// workers is in order of ID.
 	workers []*host
 	// given holds every reservation; the sum per worker never exceeds the
@@ -103,6 +104,14 @@
 	}
 }
 
+// SetPartial tells whether the rack may have workers that its owner does not know of.
+func (r *Rack) SetPartial(partial bool) {
+	if r.partial != partial {
+		r.partial = partial
+		r.sequence++
+	}
+}
+
 // RemoveWorker drops a worker and the reservations on it.
 func (r *Rack) RemoveWorker(id string) {
 	if r.worker(id) == nil {
@@ -185,7 +194,7 @@
 
 // Digest returns what the other members may know.
 func (r *Rack) Digest() Digest {
-	d := Digest{Rack: r.name, Region: r.region, Zone: r.zone, Epoch: r.epoch, Sequence: r.sequence, DoubtBelow: r.doubtBelow}
+	d := Digest{Rack: r.name, Region: r.region, Zone: r.zone, Epoch: r.epoch, Sequence: r.sequence, DoubtBelow: r.doubtBelow, Partial: r.partial}
 	d.Workers = make([]Free, len(r.workers))
 	for i, h := range r.workers {
 		d.Workers[i] = Free{ID: h.id, State: h.state, Capacity: h.capacity, Free: h.capacity.Minus(h.used), Instance: h.instance}
--- a/rackowner/owner.go
+++ b/rackowner/owner.go
@@ -79,15 +79,25 @@
 // Counts returns what was met so far.
 func (o *Owner) Counts() Counts { return o.counts }
 
-// Claim begins to decide for a rack under an epoch.
+// Claim begins to decide for a rack under an epoch, after an owner that may have
+// decided under the one before.
 func (o *Owner) Claim(now time.Time, name string, epoch uint64) {
+	o.ClaimAfter(now, name, epoch, epoch-1)
+}
+
+// ClaimAfter begins to decide for a rack under an epoch. Before is the highest epoch
+// under which another may have decided; 0 is none. Under those between the two nobody
+// did: who was to own the rack passed it on.
+func (o *Owner) ClaimAfter(now time.Time, name string, epoch, before uint64) {
 	o.Release(name)
 	region, zone := o.list.placeOf(name)
 	r := newOwnedRack(name, region, zone, epoch)
+	r.decided = before
 	o.racks[name] = r
 	o.relist(now, r)
-	r.complete = epoch <= 1
-	r.first = epoch <= 1
+	r.complete = before == 0
+	r.first = before == 0
+	r.tellPartial()
 	o.inherit(now, r)
 }
 
@@ -98,7 +108,8 @@
 	if before.Epoch >= r.rack.Epoch() {
 		return
 	}
-	r.complete = r.complete || before.Epoch+1 == r.rack.Epoch()
+	r.complete = r.complete || before.Epoch == r.decided && !before.Partial
+	r.tellPartial()
 	r.doubt(before.DoubtBelow)
 	for _, w := range before.Workers {
 		r.before[w.ID] = w.Instance
--- a/rackowner/owner_test.go
+++ b/rackowner/owner_test.go
@@ -352,3 +352,44 @@
 	}
 	c.Assert(f.sent["w1"], qt.HasLen, 4)
 }
+
+// TestSettleDoesNotWaitForAnOwnerThatNeverBegan passes a rack on twice before anyone
+// decides for it: with the digest of the last one that did, all workers are known.
+// Without that, a request waits longer than its deadline, since a lease is longer.
+func TestSettleDoesNotWaitForAnOwnerThatNeverBegan(t *testing.T) {
+	for _, decided := range []uint64{1, 0} {
+		c, f := qt.New(t), newFixture()
+		fresh := rackowner.New(f.port, f.claims)
+		fresh.List(f.now, []tablestore.Host{host("w1")}, nil)
+		if decided > 0 {
+			fresh.Saw(f.now, rack.Digest{Rack: "r1", Epoch: decided, Sequence: 9, Workers: []rack.Free{{ID: "w1"}}})
+		}
+		fresh.ClaimAfter(f.now, "r1", 3, decided)
+		fresh.Adopted(f.now, "r1", "w1", worker.Inventory{Capacity: capacity, Clock: time.Hour})
+		fresh.Command(f.now, "e1", command(1, decision.Settle, "x"))
+		c.Assert(f.reports, qt.HasLen, 1)
+		c.Assert(f.last().Status, qt.Equals, decision.Refused)
+	}
+}
+
+// TestSettleWaitsAfterAnOwnerThatDidNotKnowAllWorkers takes a rack over from an owner
+// that had just taken it over itself, without the digest of the one before it, which may
+// have had a worker that none of the two knows.
+func TestSettleWaitsAfterAnOwnerThatDidNotKnowAllWorkers(t *testing.T) {
+	c, f := qt.New(t), newFixture()
+	second := rackowner.New(f.port, f.claims)
+	second.List(f.now, []tablestore.Host{host("w1")}, nil)
+	second.Claim(f.now, "r1", 2)
+	second.Adopted(f.now, "r1", "w1", worker.Inventory{Capacity: capacity, Clock: time.Hour})
+	second.Tell()
+
+	third := rackowner.New(f.port, f.claims)
+	third.List(f.now, []tablestore.Host{host("w1")}, nil)
+	third.Saw(f.now, f.digests[len(f.digests)-1])
+	third.Claim(f.now, "r1", 3)
+	third.Adopted(f.now, "r1", "w1", worker.Inventory{Capacity: capacity, Clock: time.Hour})
+	third.Command(f.now, "e1", command(1, decision.Settle, "x"))
+	c.Assert(f.reports, qt.HasLen, 0)
+	third.Command(f.now.Add(worker.LapseLength+time.Millisecond), "e1", command(1, decision.Settle, "x"))
+	c.Assert(f.last().Status, qt.Equals, decision.Refused)
+}
--- a/rackowner/rack.go
+++ b/rackowner/rack.go
@@ -25,10 +25,14 @@
 	// refused holds attempts that must not start any more, until a time.
 	refused map[task.AttemptID]time.Time
 	// complete tells that workers holds all that an earlier owner had: there
-	// was none, or its last digests were seen here.
+	// was none, or its last digests were seen here, or the list was seen for as
+	// long as a lease lasts.
 	complete bool
-	// first tells that nobody owned the rack before.
+	// first tells that nobody decided for the rack before.
 	first bool
+	// decided is the highest epoch under which an owner before may have decided; 0 is
+	// none.
+	decided uint64
 	// alone is since when no owner before renews leases of the workers; zero if
 	// that is not known.
 	alone time.Time
@@ -127,7 +131,11 @@
 // allHeard reports whether what runs is known of every worker that the rack has
 // or may have had under the owner before.
 func (o *Owner) allHeard(now time.Time, r *ownedRack) bool {
-	if !r.complete && !o.list.known(now) {
+	if !r.complete && o.list.known(now) {
+		r.complete = true
+		r.tellPartial()
+	}
+	if !r.complete {
 		return false
 	}
 	for _, m := range r.workers {
@@ -167,7 +175,7 @@
 // doubtBefore notes that what was asked of earlier owners may have run unknown to
 // this one. What was asked of this owner, it knows.
 func (r *ownedRack) doubtBefore() {
-	if r.rack.Epoch() > 1 {
+	if !r.first {
 		r.doubt(r.rack.Epoch())
 	}
 }
@@ -179,6 +187,10 @@
 	r.tellDoubt()
 }
 
+// tellPartial tells the next owner whether the rack may have workers that this one
+// does not know of.
+func (r *ownedRack) tellPartial() { r.rack.SetPartial(!r.complete) }
+
 // tellDoubt tells the next owner what it will not know. It knows nothing of ends
 // that are remembered only here.
 func (r *ownedRack) tellDoubt() {
