decision, entry: later copies of a first try are known as such

The caller hangs up and repeats it through the owner's host, which refuses the repeat and notes that the first try must not run any more. The second copy does not look like a first try, and runs.

The mark of the caller now stays, and a copy says that it is one. A repeat that joins work also ends what a copy could still do.

The new test of package entry fails with the old delivery.go (1 start).

--- a/decision/event.go
+++ b/decision/event.go
@@ -20,6 +20,9 @@
 	// owner of the partition: it takes only requests that need no record.
 	Partition string
 	Work      task.Work
+	// Repeated tells that this is not the first copy of the same try of the caller:
+	// an owner may have taken one before. Work.FirstTry stays that of the caller.
+	Repeated bool
 }
 
 // Asked tells that a caller wants to know what became of a piece of work.
--- a/decision/overtaken.go
+++ b/decision/overtaken.go
@@ -61,8 +61,8 @@
 	return answer
 }
 
-// isOvertaken reports whether a submission is the first try of work of which a
-// repeat was answered as not run.
+// isOvertaken reports whether a submission is a copy of the first try of work of
+// which a repeat was answered as not run.
 func (c *Core) isOvertaken(e Submitted) bool {
 	if !e.Work.FirstTry {
 		return false
--- a/decision/overtaken_test.go
+++ b/decision/overtaken_test.go
@@ -83,3 +83,49 @@
 	core.Apply(now, decision.Leased{Valid: false})
 	c.Check(replyTo(c, core, now.Add(3*time.Second), repeat).State, qt.Equals, task.Unknown)
 }
+
+// TestLaterCopyOfAFirstTryThatComesAfterARefusedRepeatDoesNotRun lets an entry host send
+// the first try again, over a link that is full, since no answer came. Before the copy
+// arrives, the caller has asked another host and was told that the work did not run.
+func TestLaterCopyOfAFirstTryThatComesAfterARefusedRepeatDoesNotRun(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, kind := range []task.Kind{task.Request, task.Batch} {
+		c := qt.New(t)
+		work := smallWork(kind, 1)
+		work.ID, work.Idempotent, work.FirstTry = "seat", false, false
+		repeat := decision.Submitted{Caller: 1, Wait: true, Partition: "p", Work: work}
+		copied := repeat
+		copied.Caller, copied.Work.FirstTry, copied.Repeated = 2, true, true
+		core := decision.New(decision.Options{})
+		record := core.Apply(now, repeat)[0].(decision.Record)
+		told := replyTo(c, core, now, decision.RecordFailed{Token: record.Token})
+		c.Assert(told.State, qt.Equals, task.NotRun)
+		late := replyTo(c, core, now.Add(4*time.Second), copied)
+		c.Check(late.Code, qt.Equals, decision.CodeOvertaken)
+	}
+}
+
+// TestCopyOfAFirstTryDoesNotFollowARepeatThatWasRefusedLater lets a repeat join the work,
+// and both be told at its deadline that it did not run. A copy of the first try comes
+// after that.
+func TestCopyOfAFirstTryDoesNotFollowARepeatThatWasRefusedLater(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	work := smallWork(task.Request, 1)
+	work.ID, work.Idempotent, work.FirstTry, work.Deadline = "seat", false, true, now.Add(time.Second)
+	first := decision.Submitted{Caller: 1, Wait: true, Partition: "p", Work: work}
+	repeat := first
+	repeat.Caller, repeat.Work.FirstTry = 2, false
+	core := decision.New(decision.Options{})
+	record := core.Apply(now, first)[0].(decision.Record)
+	core.Apply(now, decision.Recorded{Token: record.Token})
+	core.Apply(now, repeat)
+	for _, a := range core.Apply(now.Add(2*time.Second), decision.Tick{}) {
+		if r, ok := a.(decision.Record); ok {
+			core.Apply(now.Add(2*time.Second), decision.Recorded{Token: r.Token})
+		}
+	}
+	copied := first
+	copied.Caller, copied.Repeated, copied.Work.Deadline = 3, true, now.Add(time.Minute)
+	c.Check(replyTo(c, core, now.Add(3*time.Second), copied).Code, qt.Equals, decision.CodeOvertaken)
+}
--- a/decision/submit.go
+++ b/decision/submit.go
@@ -13,7 +13,15 @@
 		c.refuseOvertaken(e)
 		return
 	}
+	// An owner may have taken an earlier copy: what is certain of a first try is not
+	// certain of this one.
+	e.Work.FirstTry = e.Work.FirstTry && !e.Repeated
 	old, known := c.jobs[e.Work.Key()]
+	if known && !e.Work.FirstTry {
+		// The repeat is told what becomes of the work. A copy of the first try that is
+		// still on its way must not change that.
+		old.work.FirstTry = false
+	}
 	if known && !old.mayComeBack() {
 		c.repeat(old, e)
 		return
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -94,7 +94,7 @@
 	}
 	number, ok := c.registerRemote(from, call)
 	if !ok {
-		answer.Answer = task.Undelivered(call.Key, call.Work.FirstTry, codeTooManyCalls,
+		answer.Answer = task.Undelivered(call.Key, call.Work.FirstTry && !call.Repeated, codeTooManyCalls,
 			"Too many calls are under way.", decision.DefaultRetryAfter)
 		c.answer(from, answer)
 		return
@@ -113,7 +113,9 @@
 	decide := c.host.decide
 	switch call.Verb {
 	case peer.Submit:
-		return decide.tryPut(decision.Submitted{Caller: call.Number, Wait: call.Wait, Partition: call.Partition, Work: call.Work})
+		return decide.tryPut(decision.Submitted{
+			Caller: call.Number, Wait: call.Wait, Partition: call.Partition, Work: call.Work, Repeated: call.Repeated,
+		})
 	case peer.Status:
 		return decide.tryPut(decision.Asked{Caller: call.Number, Wait: call.Wait, Key: call.Key})
 	case peer.Cancel:
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -180,15 +180,11 @@
 	return true
 }
 
-// callTo makes the message of one try. A try that follows on a doubtful one is
-// no first try of the caller's work any more.
+// callTo makes the message of one try.
 func (t *delivery) callTo(ctx context.Context, name string, number uint64) peer.Call {
 	call := peer.Call{
 		Number: number, Instance: t.calls.host.lease.Member().Instance,
-		Verb: t.verb, Wait: t.wait, Partition: name, Key: t.key, Work: t.work,
-	}
-	if t.doubt {
-		call.Work.FirstTry = false
+		Verb: t.verb, Wait: t.wait, Partition: name, Key: t.key, Work: t.work, Repeated: t.doubt,
 	}
 	if until, ok := ctx.Deadline(); ok {
 		call.Left = max(time.Until(until), time.Millisecond)
--- a/entry/regions_test.go
+++ b/entry/regions_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/vanillaquay/vanillaquay/caller"
 	"github.com/vanillaquay/vanillaquay/partition"
+	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/proxytest"
 	"github.com/vanillaquay/vanillaquay/quantity"
 	"github.com/vanillaquay/vanillaquay/task"
@@ -144,3 +146,38 @@
 	qt.Assert(t, answer.State, qt.Equals, task.Ran, qt.Commentf("%+v", answer))
 	qt.Assert(t, startsOf(once, p.agents...), qt.Equals, 1)
 }
+
+// TestCopyOfAFirstTryThatAFullLinkHoldsUpDoesNotRun sends the first try of a request over
+// a link on which it takes so long that the host sends it again. Its caller hangs up and
+// repeats it through the owner's host, which refuses it while the table is down. Neither
+// copy may run when it arrives.
+func TestCopyOfAFirstTryThatAFullLinkHoldsUpDoesNotRun(t *testing.T) {
+	// A copy takes 9 s, a host sends another one after 5 s.
+	const bytesPerSecond, payload, secondCopy = 20_000, 180_000, 6 * time.Second
+	p := startRegions(t)
+	p.untilRan(t, "e1", p.far, task.Work{Kind: task.Request, FirstTry: true})
+	p.proxies["e2"].Limit(bytesPerSecond)
+	first := caller.Work{
+		ID: "once", Kind: task.Request, FirstTry: true, Payload: make([]byte, payload),
+		Size: quantity.Size{Processors: 0.1}, RunTime: quantity.Duration(time.Millisecond),
+	}
+	body, err := json.Marshal(first)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), secondCopy)
+	defer cancel()
+	_, _, err = p.call(ctx, "e1", p.far, "POST", "/v1/work/?wait", string(body))
+	qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
+
+	p.server.SetFaults(platformstandin.Faults{TableDown: true})
+	first.FirstTry = false
+	body, err = json.Marshal(first)
+	qt.Assert(t, err, qt.IsNil)
+	_, told, err := p.call(t.Context(), "e2", p.far, "POST", "/v1/work/?wait", string(body))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, told.State, qt.Equals, task.NotRun, qt.Commentf("%+v", told))
+	p.server.SetFaults(platformstandin.Faults{})
+
+	// What is sent after both copies arrives after them.
+	p.untilRan(t, "e1", p.far, task.Work{Kind: task.Request, FirstTry: true})
+	qt.Assert(t, startsOf(p.far+"/once/", p.agents...), qt.Equals, 0)
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -76,6 +76,8 @@
 	// Left is how long the caller waits from the time of sending; 0 is until
 	// it asks for nothing more.
 	Left time.Duration `cbor:"8,keyasint,omitempty"`
+	// Repeated tells that an owner may have taken a copy of the call before.
+	Repeated bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Answer is the reply to a call.
