--- a/cell/gang.go
+++ b/cell/gang.go
@@ -119,14 +119,41 @@
 }
 
 // holdRoom keeps what a gang could use already from the steps after it, so that
-// small tasks can't starve it.
+// small tasks can't starve it. For the tasks that do not fit yet it keeps room free
+// on the workers that lack least, since small tasks would take each part of it
+// that becomes free.
 func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
 	if s.blocked == 0 {
 		s.blocked = now
 	}
-	for _, w := range fill(s, c.candidates(now, s, queue), held) {
+	list := c.candidates(now, s, queue)
+	plan := fill(s, list, held)
+	for _, w := range plan {
 		held[w.ID] = held[w.ID].Plus(s.Room())
 	}
+	for range len(s.tasks) - len(plan) {
+		w := nearest(s, list, held)
+		if w == nil {
+			return
+		}
+		held[w.ID] = held[w.ID].Plus(s.Room())
+	}
+}
+
+// nearest returns the worker that lacks least for a task of a step.
+func nearest(s *step, list []*worker, held map[string]task.Size) *worker {
+	var chosen *worker
+	var least float64
+	for _, w := range list {
+		if !s.Room().Fits(w.Capacity.Minus(held[w.ID])) {
+			continue
+		}
+		lacks := s.Room().Minus(w.free().Minus(held[w.ID])).Dominant(w.Capacity)
+		if chosen == nil || lacks < least {
+			chosen, least = w, lacks
+		}
+	}
+	return chosen
 }
 
 // book keeps the room of gangs whose tickets are on their way, so that the question,
