--- a/cell/job.go
+++ b/cell/job.go
@@ -24,6 +24,9 @@
 	// due is how many occurrences were made into steps.
 	due       int
 	isChanged bool
+	// started tells that a run is known to have begun; an order to start may have had no
+	// effect.
+	started bool
 	// recorded tells that the job itself was handed out to be recorded.
 	recorded bool
 }
@@ -140,11 +143,11 @@
 	return true
 }
 
-// Waiting returns how many jobs of a queue have had no run.
+// Waiting returns how many jobs of a queue have not begun, as far as is known.
 func (c *Cell) Waiting(queue string) int {
 	n := 0
 	for _, j := range c.jobs {
-		if j.Queue == queue && j.state == workload.Queued && j.Schedule.Times == 0 {
+		if j.Queue == queue && !j.started && !j.state.Final() && j.Schedule.Times == 0 {
 			n++
 		}
 	}
--- a/cell/property_test.go
+++ b/cell/property_test.go
@@ -70,7 +70,9 @@
 	state    workload.State
 	// ended holds the tasks that have ended done, done those of which that was
 	// taken note of before the worker's lease had ended.
-	ended  map[workload.TaskID]bool
+	ended map[workload.TaskID]bool
+	// begun tells that a run has begun.
+	begun  bool
 	done   map[workload.TaskID]bool
 	failed map[workload.TaskID]int
 }
@@ -160,12 +162,28 @@
 			tr.cell.Advised(tr.now, tr.now, q, tickets)
 		}
 		if len(actions.Starts)+len(actions.Stops)+len(actions.Questions) == 0 {
+			tr.checkWaiting()
 			return
 		}
 		tr.cell.Schedule(tr.now)
 	}
 }
 
+// checkWaiting checks that every job that has not begun is counted.
+func (tr *trial) checkWaiting() {
+	for _, q := range catalogue().Queues {
+		waiting := 0
+		for _, j := range tr.jobs {
+			if j.Queue == q.Name && !j.begun && !j.state.Final() {
+				waiting++
+			}
+		}
+		if told := tr.cell.Waiting(q.Name); told < waiting {
+			tr.fail("*", "MIXED: %d jobs of %s are said to wait, %d do", told, q.Name, waiting)
+		}
+	}
+}
+
 // checkOrders checks what holds of orders to start as they are handed out.
 func (tr *trial) checkOrders(starts []cell.Start) {
 	members := map[workload.StepID][]cell.Start{}
@@ -255,6 +273,7 @@
 	}
 	tr.note("%s run %d starts on %s life %d", s.Task, s.Run, w.ID, w.Life)
 	tr.check(w, s)
+	tr.jobs[s.Task.Job].begun = true
 	w.runs[s.Task] = s.Run
 	return true
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -60,6 +60,7 @@
 	c.apply(r, "Ended")
 	s, t := c.find(e.Task)
 	if s != nil {
+		s.job.started = true
 		c.count(now, w, s, t, e, r)
 	}
 	c.closeRun(now, w, r)
@@ -182,7 +183,7 @@
 // seen takes a run that the worker has.
 func (c *Cell) seen(now time.Duration, r *run, l Running) {
 	c.apply(r, "Seen")
-	r.begin(now)
+	c.begin(now, r)
 	// Reports overtake one another: one that was asked for before now and does not
 	// have the run may be older than this one.
 	r.settledAt = now
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -54,6 +54,9 @@
 		if t.Done {
 			s.left--
 		}
+		if t.Done || t.Failures > 0 || t.Checkpoint != "" {
+			s.job.started = true
+		}
 		for _, r := range t.Runs {
 			c.restoreRun(now, bound, s, record, r)
 		}
--- a/cell/run.go
+++ b/cell/run.go
@@ -72,9 +72,13 @@
 }
 
 // begin notes that the worker has a run, which has made no progress before.
-func (r *run) begin(now time.Duration) {
-	if r.state == running && r.begun == 0 {
-		r.begun, r.progressed = now, now
+func (c *Cell) begin(now time.Duration, r *run) {
+	if r.state != running || r.begun != 0 {
+		return
+	}
+	r.begun, r.progressed = now, now
+	if s, _ := c.find(r.id); s != nil {
+		s.job.started = true
 	}
 }
 
@@ -130,7 +134,7 @@
 	switch answer {
 	case Accepted:
 		c.apply(r, "Accepted")
-		r.begin(now)
+		c.begin(now, r)
 		return
 	case NoAnswer:
 		c.apply(r, "NoAnswer")
