scheduler: orders without an answer are sent again at once

An order without an answer was given up after 0.9 s, its run settled by a look, a stop and another look, and its worker rested; a gang with one such order broke.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -36,3 +36,6 @@
 	_, ok := r.finished.get(id)
 	return ok
 }
+
+// SendCopies is sendCopies.
+var SendCopies = sendCopies
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -236,10 +236,11 @@
 		return
 	}
 	o.deliver(ctx, func(time.Duration) { o.cell.Granted(sent, w.ID) })
-	answer := o.workers.Start(ctx, platform.Start{
+	start := platform.Start{
 		Address: w.Address, Worker: w.ID, Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		Fence: o.Fence(), Until: (sent + *offset + o.options.Bound.StartLease).Milliseconds(),
-	})
+	}
+	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer { return o.workers.Start(ctx, start) })
 	o.count.Starts.Add(1)
 	o.count.Order.Record(clock.Now() - sent)
 	answered(answer)
@@ -250,7 +251,9 @@
 	if !o.orderly(clock.Now()) {
 		return
 	}
-	answer := o.workers.Stop(ctx, w.Address, w.ID, s.Task, s.Run, o.Fence())
+	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
+		return o.workers.Stop(ctx, w.Address, w.ID, s.Task, s.Run, o.Fence())
+	})
 	o.count.Stops.Add(1)
 	o.deliver(ctx, func(now time.Duration) { o.cell.StopAnswered(now, s.Task, s.Run, w.ID, answer) })
 }
