ledger: a transaction without an answer is settled by a look at the head row

After twice the usual time, 0.2 s at least, the owner now reads the head row beside the open call. That tells whether the transaction took effect; if not, and the read was quick, the answer is lost and a copy is sent; if the read is slow too, the store is.

Ruled out by a trial: copies alone, after 0.2 s, 0.4 s and so on.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -96,6 +96,8 @@
 	renewal int64
 	// renewed is when the lease was last written.
 	renewed time.Duration
+	// patience is how long the store may take for the next transaction.
+	patience patience
 }
 
 // Take makes the named member the owner of a cell, unless somebody other than the
@@ -169,7 +171,8 @@
 	return len(changes)
 }
 
-// commit makes one transaction and settles its outcome.
+// commit makes one transaction and settles its outcome. A copy of one whose answer is
+// lost settles it: either takes effect, or the condition is spent.
 func (l *Ledger) commit(ctx context.Context, owner string, changes []Change) error {
 	t, number, err := l.transaction(owner, changes)
 	if err != nil {
@@ -177,7 +180,7 @@
 	}
 	pause := firstRetry
 	for {
-		version, err := l.store.Commit(ctx, t)
+		version, err := l.try(ctx, t, number)
 		if err == nil {
 			l.version = version
 			return nil
@@ -198,20 +201,30 @@
 
 // settle finds out from the head row whether a transaction took effect earlier.
 func (l *Ledger) settle(rows []Row, number string) error {
+	version, ok, err := written(rows, number)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return ErrLost
+	}
+	l.version = version
+	return nil
+}
+
+// written returns the version of the head row if a transaction has written it.
+func written(rows []Row, number string) (Version, bool, error) {
 	for _, r := range rows {
-		if r.Table != HeadTable {
+		if r.Table != HeadTable || r.Key != headKey {
 			continue
 		}
 		var h head
 		if err := codec.Unmarshal(r.Value, &h); err != nil {
-			return errors.Annotate(err, "head")
-		}
-		if h.Transaction == number {
-			l.version = r.Version
-			return nil
+			return 0, false, errors.Annotate(err, "head")
 		}
+		return r.Version, h.Transaction == number, nil
 	}
-	return ErrLost
+	return 0, false, nil
 }
 
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
