front, cli: settings that change take effect on a running host

The file was read again on SIGHUP only, and without effect. It is now looked at every 2 s too. Bounds, the services of advice and machines and the memory limit follow; an owner gives the cell up to come by new bounds. What a process can't follow is logged. The dump tells the settings in force.

--- a/cli/front.go
+++ b/cli/front.go
@@ -31,7 +31,7 @@
 func (c frontCommand) Help() string {
 	return `The settings file is the one that the platform writes; the environment variable
 ` + platform.SettingsVariable + ` holds its path. SIGTERM stops the host gracefully, SIGHUP reads the
-settings again.`
+settings again, as does a change of the file within some seconds.`
 }
 
 // Run implements the subcommand.
@@ -44,9 +44,7 @@
 		return nil
 	}
 	runtime.GOMAXPROCS(1)
-	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
-	}
+	limitMemory(settings)
 	output := lines.New(os.Stdout)
 	defer output.Close()
 	logger := logrus.New()
@@ -55,25 +53,13 @@
 	log := logger.WithField("host", settings.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go reload(ctx, log)
-	return front.New(settings, log).Run(ctx)
+	h := front.New(settings, log)
+	go reload(ctx, h, log)
+	return h.Run(ctx)
 }
 
-// reload reads the settings again on SIGHUP. What can change is where things
-// listen, which a process can't follow, so that it only tells of a fault.
-func reload(ctx context.Context, log *logrus.Entry) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			if _, err := platform.LoadSettings(); err != nil {
-				log.WithField("why", err.Error()).Warn("front: settings not read, the earlier ones stay")
-				continue
-			}
-			log.Info("front: settings read again")
-		}
+func limitMemory(settings platform.Settings) {
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
 	}
 }
--- /dev/null
+++ b/cli/reload.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/front"
+	"github.com/vanillaquay/vanillaquay/platform"
+)
+
+// settingsInterval is the pause between two looks at the settings file, which may change
+// without a signal. A look is one system call.
+const settingsInterval = 2 * time.Second
+
+// fileVersion tells versions of a file apart. The zero value is of a file that can't be
+// read.
+type fileVersion struct {
+	size    int64
+	changed time.Time
+}
+
+func versionOf(path string) fileVersion {
+	info, err := os.Stat(path)
+	if err != nil {
+		// A file that is being replaced is looked at again.
+		return fileVersion{}
+	}
+	return fileVersion{size: info.Size(), changed: info.ModTime()}
+}
+
+// reload reads the settings again on SIGHUP, and when the file has changed.
+func reload(ctx context.Context, h *front.Host, log *logrus.Entry) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	path := os.Getenv(platform.SettingsVariable)
+	known := versionOf(path)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if v := versionOf(path); v == known || v == (fileVersion{}) {
+				continue
+			}
+		}
+		known = versionOf(path)
+		settings, err := platform.LoadSettings()
+		if err != nil {
+			log.WithField("why", err.Error()).Warn("front: settings not read, the earlier ones stay")
+			continue
+		}
+		limitMemory(settings)
+		h.Reconfigure(ctx, settings)
+	}
+}
--- a/front/host.go
+++ b/front/host.go
@@ -38,13 +38,13 @@
 
 // Host is one entry host. Use New to make one.
 type Host struct {
-	settings    platform.Settings
+	// current holds the settings in force; use settings.
+	current     atomic.Pointer[platform.Settings]
 	log         *logrus.Entry
 	incarnation string
 	store       *platform.Store
 	orders      *platform.Orders
-	advisor     *platform.Advisor
-	machines    *platform.Machines
+	advisor     atomic.Pointer[platform.Advisor]
 	hub         *peer.Hub
 	members     members
 	desk        *intake.Desk
@@ -82,11 +82,12 @@
 // New returns a host with the given settings.
 func New(settings platform.Settings, log *logrus.Entry) *Host {
 	h := &Host{
-		settings: settings, log: log, incarnation: uuid.NewString()[:8],
-		store: platform.NewStore(settings.StoreAddress), orders: platform.NewOrders(), advisor: platform.NewAdvisor(settings.AdviceAddress),
-		machines: platform.NewMachines(settings.MachinesAddress), waves: map[int64]upkeep.Wave{},
-		questions: ring.New[asked](questionRing),
+		log: log, incarnation: uuid.NewString()[:8],
+		store: platform.NewStore(settings.StoreAddress), orders: platform.NewOrders(),
+		waves: map[int64]upkeep.Wave{}, questions: ring.New[asked](questionRing),
 	}
+	h.current.Store(&settings)
+	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
 	h.members = members{known: map[string]member{}, changed: h.connect}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
 	h.hub.Connected = h.passOn
@@ -97,8 +98,8 @@
 // bounds returns what the cell may count on.
 func (h *Host) bounds() cell.Options {
 	return cell.Options{
-		Lease: min(leaseBound, h.settings.MaxLease), StartLease: min(startLease, h.settings.MaxLease), ClockSkew: clockSkew,
-		StopTime: h.settings.StopTime,
+		Lease: min(leaseBound, h.settings().MaxLease), StartLease: min(startLease, h.settings().MaxLease), ClockSkew: clockSkew,
+		StopTime: h.settings().StopTime,
 	}
 }
 
@@ -121,7 +122,7 @@
 			duty(ctx)
 		}()
 	}
-	h.log.WithFields(logrus.Fields{"zone": h.settings.Zone, "callers": h.settings.CallerAddress, "store": h.settings.StoreAddress}).Info("front: started")
+	h.log.WithFields(logrus.Fields{"zone": h.settings().Zone, "callers": h.settings().CallerAddress, "store": h.settings().StoreAddress}).Info("front: started")
 	<-stop.Done()
 	return h.stop(servers)
 }
@@ -130,7 +131,7 @@
 func (h *Host) stop(servers []*http.Server) error {
 	h.log.Info("front: stopping")
 	h.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, h.settings.StopGrace-stopMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, h.settings().StopGrace-stopMargin))
 	defer cancel()
 	for _, s := range servers {
 		s.SetKeepAlivesEnabled(false)
--- a/front/link.go
+++ b/front/link.go
@@ -51,7 +51,7 @@
 	owner, own := h.watcher.Owner, h.owner
 	h.mu.Unlock()
 	if own != nil {
-		own.Call(h.settings.Host, c)
+		own.Call(h.settings().Host, c)
 		return true
 	}
 	return owner != "" && h.hub.Send(owner, peer.KindJobCall, c) == nil
@@ -68,7 +68,7 @@
 
 // Reply implements scheduler.Members.
 func (h *Host) Reply(host string, a intake.Answer) {
-	if host == h.settings.Host {
+	if host == h.settings().Host {
 		h.desk.Answered(a)
 		return
 	}
@@ -80,7 +80,7 @@
 func (h *Host) Askers() []string {
 	var names []string
 	for _, name := range h.members.names() {
-		if name == h.settings.Host || h.hub.Reachable(name) {
+		if name == h.settings().Host || h.hub.Reachable(name) {
 			names = append(names, name)
 		}
 	}
@@ -89,7 +89,7 @@
 
 // Ask implements scheduler.Members.
 func (h *Host) Ask(host string, q scheduler.Question) bool {
-	if host == h.settings.Host {
+	if host == h.settings().Host {
 		return h.questions.TryPut(asked{from: host, question: q}) == nil
 	}
 	return h.hub.Send(host, peer.KindQuestion, q) == nil
@@ -121,7 +121,7 @@
 		// Its owner no longer has the cell.
 		return
 	}
-	tickets, err := h.advisor.Ask(ctx, q.Step, q.Workers, q.Expected)
+	tickets, err := h.advisor.Load().Ask(ctx, q.Step, q.Workers, q.Expected)
 	reply := scheduler.Advice{Fence: a.question.Fence, Question: q, Tickets: tickets, Took: clock.Now() - begun}
 	if err != nil {
 		reply.Failed, reply.Tickets = err.Error(), nil
@@ -152,7 +152,7 @@
 }
 
 func (h *Host) answerAdvice(to string, a scheduler.Advice) {
-	if to == h.settings.Host {
+	if to == h.settings().Host {
 		h.advised(to, a)
 		return
 	}
--- a/front/member.go
+++ b/front/member.go
@@ -91,7 +91,7 @@
 
 // enter writes the row of this host until the store has it.
 func (h *Host) enter(ctx context.Context) {
-	s := h.settings
+	s := h.settings()
 	value, err := codec.Marshal(member{Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Region: s.Region, Incarnation: h.incarnation})
 	if err != nil {
 		h.log.WithError(err).Error("front: row of this host")
--- a/front/serve.go
+++ b/front/serve.go
@@ -35,25 +35,25 @@
 
 // listen opens all servers.
 func (h *Host) listen() ([]*http.Server, error) {
-	callers, err := h.serve(h.settings.CallerAddress, &platform.Ingress{Intake: h.desk})
+	callers, err := h.serve(h.settings().CallerAddress, &platform.Ingress{Intake: h.desk})
 	if err != nil {
 		return nil, err
 	}
 	ready := chi.NewRouter()
 	ready.Get(platform.PathReady, h.ready)
-	balancer, err := h.serve(h.settings.ReadyAddress, ready)
+	balancer, err := h.serve(h.settings().ReadyAddress, ready)
 	if err != nil {
 		return nil, err
 	}
 	links := chi.NewRouter()
 	links.Handle(peer.Path, h.hub)
-	if _, err := h.serve(net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.PeerPort)), links); err != nil {
+	if _, err := h.serve(net.JoinHostPort(h.settings().IP, strconv.Itoa(h.settings().PeerPort)), links); err != nil {
 		return nil, err
 	}
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.metrics)
 	debug.Get("/dump", h.dump)
-	if _, err := h.serve(net.JoinHostPort(h.settings.IP, strconv.Itoa(MetricsPort)), debug); err != nil {
+	if _, err := h.serve(net.JoinHostPort(h.settings().IP, strconv.Itoa(MetricsPort)), debug); err != nil {
 		return nil, err
 	}
 	return []*http.Server{callers, balancer}, nil
@@ -125,8 +125,8 @@
 	h.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
-		"Host": h.settings.Host, "Incarnation": h.incarnation, "Owner": watcher.Owner, "Fence": watcher.Fence, "Owns": own,
-		"Members": h.members.names(), "Links": h.hub.Stats(),
+		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": watcher.Owner, "Fence": watcher.Fence, "Owns": own,
+		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
 	}
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/peer"
+	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/tenure"
 	"github.com/vanillaquay/vanillaquay/timer"
@@ -137,7 +138,7 @@
 func (h *Host) rank(fence int64, near bool) int {
 	hash := fnv.New32a()
 	// A hash never fails to take bytes.
-	_, _ = hash.Write([]byte(h.settings.Host + "/" + strconv.FormatInt(fence, 10)))
+	_, _ = hash.Write([]byte(h.settings().Host + "/" + strconv.FormatInt(fence, 10)))
 	rank := int(hash.Sum32() % nearRanks)
 	if !near {
 		rank += nearRanks
@@ -153,7 +154,7 @@
 		h.mu.Lock()
 		watcher, own, near := h.watcher, h.owner != nil, h.near
 		h.mu.Unlock()
-		if own || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence, near), linked, watcher.Owner == h.settings.Host) {
+		if own || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence, near), linked, watcher.Owner == h.settings().Host) {
 			continue
 		}
 		if _, ok := h.desk.Catalogue(); !ok {
@@ -169,7 +170,7 @@
 // tenure takes the cell from an earlier owner and decides for it until it is lost.
 func (h *Host) tenure(ctx context.Context, earlier string) {
 	takeContext, cancel := context.WithTimeout(ctx, takeTimeout)
-	l, err := ledger.Take(takeContext, h.store, cellName, h.settings.Host, h.incarnation, earlier)
+	l, err := ledger.Take(takeContext, h.store, cellName, h.settings().Host, h.incarnation, earlier)
 	cancel()
 	if err != nil {
 		h.log.WithField("why", err.Error()).Warn("front: cell not taken")
@@ -178,9 +179,9 @@
 	h.takeovers.Add(1)
 	catalogue, _ := h.desk.Catalogue()
 	o := scheduler.New(scheduler.Options{
-		Cell: cellName, Bound: h.bounds(), StatusKept: h.settings.StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
-		Holder: h.settings.Host, UpkeepTime: h.settings.UpkeepTime, TurnPause: h.settings.TurnPause,
-	}, l, h.store, h.orders, h.machines, h, &h.count, h.log)
+		Cell: cellName, Bound: h.bounds(), StatusKept: h.settings().StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
+		Holder: h.settings().Host, UpkeepTime: h.settings().UpkeepTime, TurnPause: h.settings().TurnPause,
+	}, l, h.store, h.orders, platform.NewMachines(h.settings().MachinesAddress), h, &h.count, h.log)
 	h.mu.Lock()
 	h.owner = o
 	for _, w := range h.waves {
@@ -188,13 +189,13 @@
 	}
 	h.mu.Unlock()
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
-		return w.WithLease(now, h.settings.Host, l.Fence())
+		return w.WithLease(now, h.settings().Host, l.Fence())
 	})
 	// The watch may have told of the tenure before.
 	h.connect()
 	h.desk.OwnerChanged()
 	h.tell()
-	h.passOn(h.settings.Host)
+	h.passOn(h.settings().Host)
 	err = o.Run(ctx, catalogue)
 	h.mu.Lock()
 	h.owner = nil
@@ -253,7 +254,7 @@
 	}
 	h.mu.Unlock()
 	for _, name := range h.members.names() {
-		if name != h.settings.Host {
+		if name != h.settings().Host {
 			// A member that can't be reached learns it from the store.
 			_ = h.hub.Send(name, peer.KindTenure, t)
 		}
@@ -267,7 +268,7 @@
 	h.mu.Unlock()
 	var wanted []string
 	for _, name := range h.members.names() {
-		if name != h.settings.Host && (own || name == owner) {
+		if name != h.settings().Host && (own || name == owner) {
 			wanted = append(wanted, name)
 		}
 	}
