scheduler: holds are short while answers of workers are lost

A hold waits 1.5 s for an end, and one without an answer was noticed after 2.4 s, in which no end on the worker is known; the worker then got no orders for 0.25 s at least. Where 5% of the answers are lost, an eighth of the workers is in that state.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/ledger"
 )
@@ -39,3 +41,12 @@
 
 // SendCopies is sendCopies.
 var SendCopies = sendCopies
+
+// Losses is losses.
+type Losses = losses
+
+// Note is note.
+func (l *losses) Note(now time.Duration) { l.note(now) }
+
+// Many is many.
+func (l *losses) Many(now time.Duration) bool { return l.many(now) }
--- /dev/null
+++ b/scheduler/losses_test.go
@@ -0,0 +1,23 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/scheduler"
+)
+
+// Answers count as being lost once some were in a short time, until none was for as long.
+func TestLossesOfTheLastSeconds(t *testing.T) {
+	var l scheduler.Losses
+	for _, step := range []struct {
+		at   time.Duration
+		many bool
+	}{{0, false}, {10 * time.Second, false}, {11 * time.Second, false}, {12 * time.Second, true}, {13 * time.Second, true}} {
+		l.Note(step.at)
+		qt.Check(t, l.Many(step.at), qt.Equals, step.many, qt.Commentf("%s", step.at))
+	}
+	qt.Check(t, l.Many(15*time.Second), qt.IsFalse)
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -90,6 +90,8 @@
 	commitEnded atomic.Int64
 	// underWay is when the transaction under way began, for other duties; 0 is none.
 	underWay atomic.Int64
+	// lost counts the answers of workers that were lost.
+	lost losses
 	// fenced is closed once a worker obeys a later owner.
 	fenced     chan struct{}
 	fencedOnce sync.Once
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -25,8 +25,14 @@
 	// holdPause is the least time between two reports, so that ends come in
 	// batches.
 	holdPause = 25 * time.Millisecond
+	// lossyWait is the same while answers of workers are lost: the ends on a worker are
+	// not known until the next hold, so that a short one costs less.
+	lossyWait = 400 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
+	// firstHoldRetry is the same for a worker that has answered the hold before: its
+	// answer may just be lost.
+	firstHoldRetry = 25 * time.Millisecond
 	// orderRing bounds the orders that wait for one worker.
 	orderRing = 1024
 	// orderDuties is how many orders a worker gets at once.
@@ -116,15 +122,19 @@
 // hold keeps the lease of a worker and takes its reports.
 func (d *workerDuty) hold(ctx context.Context) {
 	wait := time.Duration(0)
+	failed := 0
 	for ctx.Err() == nil {
 		pause := holdPause
-		if d.report(ctx, wait) {
-			wait = holdWait
-			if d.shared.Load() {
-				wait = sharedWait
+		switch {
+		case d.report(ctx, wait):
+			if failed == 1 {
+				d.owner.lost.note(clock.Now())
 			}
-		} else {
-			wait, pause = 0, holdRetry
+			failed, wait = 0, d.holdWait()
+		case failed == 0:
+			failed, wait, pause = 1, 0, firstHoldRetry
+		default:
+			failed, wait, pause = failed+1, 0, holdRetry
 		}
 		if !timer.Sleep(ctx, pause) {
 			return
@@ -132,6 +142,18 @@
 	}
 }
 
+// holdWait is how long the next hold waits for an end.
+func (d *workerDuty) holdWait() time.Duration {
+	switch {
+	case d.owner.lost.many(clock.Now()):
+		return lossyWait
+	case d.shared.Load():
+		return sharedWait
+	default:
+		return holdWait
+	}
+}
+
 func (d *workerDuty) lookNow(ctx context.Context) {
 	for {
 		select {
