--- a/breakdown/breakdown.go
+++ b/breakdown/breakdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
@@ -46,11 +47,21 @@
 
 // Percentile returns the time of a phase below which a share of the jobs are.
 func (q Queue) Percentile(p Phase, share float64) time.Duration {
-	times := slices.Sorted(slices.Values(q.Times[p]))
-	if len(times) == 0 {
+	return percentile(q.Times[p], share)
+}
+
+func percentile(times []time.Duration, share float64) time.Duration {
+	sorted := slices.Sorted(slices.Values(times))
+	if len(sorted) == 0 {
 		return 0
 	}
-	return times[min(len(times)-1, int(share*float64(len(times))))]
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+// Report is what logs tell.
+type Report struct {
+	Queues    []Queue
+	Takeovers Takeovers
 }
 
 // line is what is read of a line of a log.
@@ -64,6 +75,11 @@
 	// AgeMS and MS are how long something took, in milliseconds.
 	AgeMS float64 `json:"age_ms"`
 	MS    float64 `json:"ms"`
+	// Host wrote the line; Owner, Linked and Fence are of a takeover.
+	Host   string `json:"host"`
+	Owner  string `json:"owner"`
+	Linked bool   `json:"linked"`
+	Fence  int64  `json:"fence"`
 }
 
 // job is what the log tells of one job.
@@ -75,15 +91,21 @@
 	runs                            map[string]int
 }
 
-// Read sums up the logs of all hosts, which may be in any order of lines. Lines that
-// are not of a log are passed over.
-func Read(input io.Reader) ([]Queue, error) {
+// Read sums up the logs of all hosts, whose lines may be mixed in any way and begin with
+// what a collector of logs adds. Lines that are not of a log are passed over.
+func Read(input io.Reader) (Report, error) {
 	jobs := map[string]*job{}
+	takeovers := newTakeovers()
 	lines := bufio.NewScanner(input)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
 		var l line
-		if json.Unmarshal(lines.Bytes(), &l) != nil || l.Job == "" {
+		_, text, _ := bytes.Cut(lines.Bytes(), []byte("{"))
+		if json.Unmarshal(append([]byte("{"), text...), &l) != nil {
+			continue
+		}
+		takeovers.take(l)
+		if l.Job == "" {
 			continue
 		}
 		j := jobs[l.Job]
@@ -94,9 +116,9 @@
 		j.take(l)
 	}
 	if err := lines.Err(); err != nil {
-		return nil, errors.Annotate(err, "log")
+		return Report{}, errors.Annotate(err, "log")
 	}
-	return sum(jobs), nil
+	return Report{Queues: sum(jobs), Takeovers: takeovers.gaps}, nil
 }
 
 func (j *job) take(l line) {
--- a/breakdown/breakdown_test.go
+++ b/breakdown/breakdown_test.go
@@ -22,8 +22,9 @@
 `
 
 func TestRead(t *testing.T) {
-	queues, err := breakdown.Read(strings.NewReader(log))
+	report, err := breakdown.Read(strings.NewReader(log))
 	qt.Assert(t, err, qt.IsNil)
+	queues := report.Queues
 	qt.Assert(t, queues, qt.HasLen, 1)
 	q := queues[0]
 	qt.Assert(t, q.Jobs, qt.Equals, 2)
@@ -34,3 +35,28 @@
 	qt.Assert(t, q.Percentile(breakdown.Work, 0.5), qt.Equals, 4*time.Second)
 	qt.Assert(t, q.Percentile(breakdown.Acceptance, 0.9), qt.Equals, 40*time.Millisecond)
 }
+
+const takeovers = `{"msg":"front: taking the cell","fence":0,"host":"e2","owner":"","age_ms":90000,"time":"2026-12-04T03:00:01Z"}
+{"msg":"scheduler: recovered","host":"e2","time":"2026-12-04T03:00:01.1Z"}
+   3.8829 e1 {"msg":"front: taking the cell","fence":7,"host":"e1","owner":"e2","linked":false,"age_ms":1200,"time":"2026-12-04T03:00:02Z"}
+{"msg":"front: taking the cell","fence":7,"host":"e3","owner":"e2","linked":false,"age_ms":1200,"time":"2026-12-04T03:00:02Z"}
+{"msg":"front: cell not taken","host":"e3","time":"2026-12-04T03:00:02.1Z"}
+{"msg":"scheduler: recovered","host":"e1","time":"2026-12-04T03:00:02.1Z"}
+{"msg":"front: taking the cell","fence":7,"host":"e1","owner":"e1","linked":true,"age_ms":90,"time":"2026-12-04T03:00:05Z"}
+{"msg":"scheduler: recovered","host":"e1","time":"2026-12-04T03:00:05.03Z"}
+{"msg":"front: taking the cell","fence":7,"host":"e3","owner":"","linked":false,"age_ms":100,"time":"2026-12-04T03:00:07Z"}
+{"msg":"scheduler: recovered","host":"e3","time":"2026-12-04T03:00:07.02Z"}
+{"msg":"scheduler: recovered","host":"e2","time":"2026-12-04T03:00:09Z"}
+`
+
+func TestTakeovers(t *testing.T) {
+	report, err := breakdown.Read(strings.NewReader(takeovers))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, report.Takeovers, qt.DeepEquals, breakdown.Takeovers{
+		breakdown.Unlinked:  {1300 * time.Millisecond},
+		breakdown.Restarted: {30 * time.Millisecond},
+		breakdown.Resigned:  {120 * time.Millisecond},
+	})
+	qt.Assert(t, report.Takeovers.Percentile(breakdown.Unlinked, 0.5), qt.Equals, 1300*time.Millisecond)
+	qt.Assert(t, report.Takeovers.Percentile(breakdown.Stale, 0.5), qt.Equals, time.Duration(0))
+}
--- /dev/null
+++ b/breakdown/takeover.go
@@ -0,0 +1,75 @@
+package breakdown
+
+import "time"
+
+// Cause is why a host took the cell.
+type Cause string
+
+// The causes, the quickest first.
+const (
+	// Restarted is an owner that found itself named as such when it started.
+	Restarted Cause = "Restarted"
+	// Resigned is an owner that gave the cell up.
+	Resigned Cause = "Resigned"
+	// Unlinked is an owner that renewed its lease no more and could not be reached.
+	Unlinked Cause = "Unlinked"
+	// Stale is an owner that renewed its lease no more.
+	Stale Cause = "Stale"
+)
+
+// Causes lists the causes in their order.
+var Causes = []Cause{Restarted, Resigned, Unlinked, Stale}
+
+// Takeovers holds for each cause how long the cell had no owner: from the last sign of
+// the earlier one, or the start of the host, until the next has recovered. Takeovers
+// that another host was faster at are left out.
+type Takeovers map[Cause][]time.Duration
+
+// Percentile returns the time below which a share of the takeovers of a cause are.
+func (t Takeovers) Percentile(c Cause, share float64) time.Duration { return percentile(t[c], share) }
+
+// takeovers follows the takeovers of each host through its log.
+type takeovers struct {
+	begun map[string]takeover
+	gaps  Takeovers
+}
+
+type takeover struct {
+	cause Cause
+	// last is the last sign of the earlier owner.
+	last time.Time
+}
+
+func newTakeovers() *takeovers {
+	return &takeovers{begun: map[string]takeover{}, gaps: Takeovers{}}
+}
+
+func (t *takeovers) take(l line) {
+	switch l.Message {
+	case "front: taking the cell":
+		// The first owner of a cell takes it from nobody.
+		if l.Fence > 0 {
+			t.begun[l.Host] = begin(l)
+		}
+	case "front: cell not taken":
+		delete(t.begun, l.Host)
+	case "scheduler: recovered":
+		if b, ok := t.begun[l.Host]; ok {
+			t.gaps[b.cause] = append(t.gaps[b.cause], l.Time.Sub(b.last))
+			delete(t.begun, l.Host)
+		}
+	}
+}
+
+func begin(l line) takeover {
+	b := takeover{cause: Stale, last: l.Time.Add(-milliseconds(l.AgeMS))}
+	switch {
+	case l.Owner == l.Host:
+		b.cause, b.last = Restarted, l.Time
+	case l.Owner == "":
+		b.cause = Resigned
+	case !l.Linked:
+		b.cause = Unlinked
+	}
+	return b
+}
--- a/cli/breakdown.go
+++ b/cli/breakdown.go
@@ -19,7 +19,8 @@
 func (c breakdownCommand) Help() string {
 	return `For each queue: its jobs and runs by how they ended, and the times of each phase
 (median and ninth decile): until the acceptance, until the first advice, until the first
-start for want of room, and at work.
+start for want of room, and at work. Then the takeovers of the cell by their cause, and how
+long it had no owner.
 
 Example:
   cat e1.log e2.log | vanillaquay breakdown`
@@ -35,7 +36,7 @@
 	if len(inputs) == 0 {
 		inputs = append(inputs, os.Stdin)
 	}
-	queues, err := breakdown.Read(io.MultiReader(inputs...))
+	report, err := breakdown.Read(io.MultiReader(inputs...))
 	if err != nil {
 		return err
 	}
@@ -45,12 +46,17 @@
 		fmt.Fprintf(w, "\t%s", p)
 	}
 	fmt.Fprintln(w)
-	for _, q := range queues {
+	for _, q := range report.Queues {
 		fmt.Fprintf(w, "%s\t%d\t%v\t%v", q.Name, q.Jobs, q.Ended, q.Runs)
 		for _, p := range breakdown.Phases {
 			fmt.Fprintf(w, "\t%s %s", q.Percentile(p, 0.5).Round(time.Millisecond), q.Percentile(p, 0.9).Round(time.Millisecond))
 		}
 		fmt.Fprintln(w)
 	}
+	fmt.Fprintln(w, "\nTakeovers\tNumber\tMedian\tNinth decile\tLongest")
+	for _, c := range breakdown.Causes {
+		t := report.Takeovers
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", c, len(t[c]), t.Percentile(c, 0.5), t.Percentile(c, 0.9), t.Percentile(c, 1))
+	}
 	return w.Flush()
 }
