front, platformstandin: holders that take turns too soon at a machine are noted

ONE had no test. The stand-in of the service of machines now checks holders, tokens and the time between two of them, and a second wave is played whose owner is stopped while its orders have no answer.

--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -59,6 +59,8 @@
 	readyPort  = 18167
 	peerPort   = 17720
 	deadline   = 20 * time.Second
+	// turnPause is longer than a hand-over takes with the first look at machines after it.
+	turnPause = 2 * time.Second
 )
 
 // output keeps what a process writes, also while it is read. The zero value is empty.
@@ -94,7 +96,7 @@
 	networks.Unlock()
 	d := &deployment{t: t, rows: platformstandin.NewRows(), floor: &workerstandin.Floor{}}
 	d.fleet = platformstandin.NewFleet(400 * time.Millisecond)
-	d.fleet.Restart = d.restart
+	d.fleet.Restart, d.fleet.TurnPause = d.restart, turnPause
 	machines := httptest.NewServer(d.fleet.Handler())
 	t.Cleanup(machines.CloseClientConnections)
 	store := httptest.NewServer(d.rows.Handler())
@@ -116,7 +118,7 @@
 			"limits":    map[string]any{"memory_mb": 284},
 			"platform":  map[string]any{"addr": strings.TrimPrefix(store.URL, "http://"), "form": "table", "row_bytes": 65536},
 			"advice":    strings.TrimPrefix(advisor.URL, "http://"),
-			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120, "maintenance_s": 0.4, "lease_ms": 500},
+			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120, "maintenance_s": 0.4, "lease_ms": turnPause.Milliseconds()},
 			"cloud_api": map[string]any{"addr": strings.TrimPrefix(machines.URL, "http://")}, "orders": "call", "heartbeat_ms": 1500,
 		})
 		qt.Assert(t, err, qt.IsNil)
@@ -449,19 +451,35 @@
 // killed and answers are lost, and no work is lost.
 func TestWaveOfUpkeep(t *testing.T) {
 	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.fleet.Lose(1)
+	d.playWave(func(owner *hostProcess) { owner.kill() })
+}
+
+// The owner is stopped, and its last orders had no answer. The next one begins within 0.2 s
+// and gives the orders again, but not for a machine of which its predecessor may have
+// ordered something right before.
+func TestWaveGoesOnWithTheNextOwner(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.fleet.Lose(4)
+	d.playWave(func(owner *hostProcess) { qt.Assert(t, owner.command.Process.Signal(syscall.SIGTERM), qt.IsNil) })
+}
+
+// playWave plays a wave of upkeep beside some work, with an owner that ends meanwhile.
+func (d *deployment) playWave(end func(owner *hostProcess)) {
+	d.t.Helper()
 	for n := range 6 {
 		d.submit(d.hosts[n%3], "plain", n, 6)
 	}
-	d.fleet.Lose(1)
 	d.rows.Put("op", "wave/7", []byte(`{"wave":7,"machines":["m0","m1","m2"],"within_s":12,"max_count":1}`))
 	d.await("a machine is down", func() bool { return d.fleet.Most() > 0 })
 	owner := d.owner()
-	owner.kill()
+	end(owner)
 	d.await("the wave is done", func() bool { return strings.Contains(string(d.rows.Value("status", "wave/7")), `"done"`) })
 	for _, m := range []string{"m0", "m1", "m2"} {
-		qt.Check(t, d.fleet.Had(m, 7), qt.IsTrue)
+		qt.Check(d.t, d.fleet.Had(m, 7), qt.IsTrue)
 	}
-	qt.Assert(t, d.fleet.Most(), qt.Equals, 1)
+	qt.Assert(d.t, d.fleet.Most(), qt.Equals, 1)
+	qt.Assert(d.t, d.fleet.Faults(), qt.HasLen, 0)
 	d.awaitDone(d.other(owner), "plain", 0, 6)
 }
 
--- a/platformstandin/fleet.go
+++ b/platformstandin/fleet.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,18 +18,29 @@
 	// Length is how long a machine is down, Restart is called as it comes back.
 	Length  time.Duration
 	Restart func(machine string)
+	// TurnPause is how long after the order of one holder none of another may come.
+	TurnPause time.Duration
 
 	mu       sync.Mutex
 	machines map[string]*fleetMachine
 	// most is the largest number of machines that were down at once.
-	most int
-	lose int
+	most   int
+	lose   int
+	faults []string
 }
 
 type fleetMachine struct {
 	worker string
 	down   bool
 	had    map[int64]bool
+	last   turn
+}
+
+// turn is the last order for a machine.
+type turn struct {
+	holder string
+	token  int64
+	at     time.Time
 }
 
 // NewFleet returns a fleet without machines.
@@ -63,6 +76,27 @@
 	return f.machines[machine].had[wave]
 }
 
+// Faults returns what should not have happened.
+func (f *Fleet) Faults() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.faults)
+}
+
+// checkTurn notes holders that share a token, come back with an older one, or take turns
+// too soon. The caller holds f.mu.
+func (f *Fleet) checkTurn(machine string, last, next turn) {
+	other := last.holder != "" && last.holder != next.holder
+	switch {
+	case other && last.token == next.token:
+		f.faults = append(f.faults, fmt.Sprintf("ONE: %s and %s with token %d for %s", last.holder, next.holder, next.token, machine))
+	case next.token < last.token:
+		f.faults = append(f.faults, fmt.Sprintf("ONE: token %d of %s after %d for %s", next.token, next.holder, last.token, machine))
+	case other && next.at.Sub(last.at) < f.TurnPause:
+		f.faults = append(f.faults, fmt.Sprintf("ONE: %s %s after %s for %s", next.holder, next.at.Sub(last.at), last.holder, machine))
+	}
+}
+
 // Handler returns the interface of the service.
 func (f *Fleet) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -97,13 +131,19 @@
 		Machine string `json:"machine"`
 		Wave    int64  `json:"wave"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || r.Header.Get("Lease-Holder") == "" || r.Header.Get("Fencing-Token") == "" {
+	token, tokenErr := strconv.ParseInt(r.Header.Get("Fencing-Token"), 10, 64)
+	next := turn{holder: r.Header.Get("Lease-Holder"), token: token, at: time.Now()}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || tokenErr != nil || next.holder == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.machines[order.Machine]
+	if m != nil {
+		f.checkTurn(order.Machine, m.last, next)
+		m.last = next
+	}
 	switch {
 	case m == nil:
 		w.WriteHeader(http.StatusBadRequest)
