--- /dev/null
+++ b/front/settings_test.go
@@ -0,0 +1,72 @@
+package front_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/platform"
+)
+
+// rewrite changes the settings file of a host.
+func (d *deployment) rewrite(h *hostProcess, change func(settings map[string]any)) {
+	content, err := os.ReadFile(h.settings)
+	qt.Assert(d.t, err, qt.IsNil)
+	var settings map[string]any
+	qt.Assert(d.t, json.Unmarshal(content, &settings), qt.IsNil)
+	change(settings)
+	content, err = json.Marshal(settings)
+	qt.Assert(d.t, err, qt.IsNil)
+	qt.Assert(d.t, os.WriteFile(h.settings, content, 0o600), qt.IsNil)
+}
+
+// statusKept returns how long a host tells the state of a finished job, as far as it is
+// in force.
+func (d *deployment) statusKept(h *hostProcess) time.Duration {
+	var dump struct{ Settings platform.Settings }
+	r, err := http.Get(fmt.Sprintf("http://%s:9464/dump", h.ip))
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	qt.Check(d.t, json.NewDecoder(r.Body).Decode(&dump), qt.IsNil)
+	return dump.Settings.StatusKept
+}
+
+// The settings change while hosts run, with a signal and without. The owner hands the cell
+// over to come by them; a file with faults changes nothing, and no job is lost.
+func TestSettingsChangeWhileHostsRun(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.submit(d.hosts[0], "plain", 1, 4)
+	setStatus := func(seconds any) func(map[string]any) {
+		return func(s map[string]any) { s["bounds"].(map[string]any)["status_s"] = seconds }
+	}
+	first := d.owner()
+	for _, h := range d.hosts {
+		d.rewrite(h, setStatus(60))
+	}
+	qt.Assert(t, d.other(first).command.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	d.await("the new settings on all hosts", func() bool {
+		for _, h := range d.hosts {
+			if d.statusKept(h) != time.Minute {
+				return false
+			}
+		}
+		return true
+	})
+	d.await("a tenure of the new settings", func() bool { return strings.Contains(first.output.String(), "tenure ended") })
+	d.submit(d.hosts[1], "plain", 2, 4)
+
+	d.rewrite(first, func(s map[string]any) { delete(s, "ip") })
+	d.await("a complaint", func() bool { return strings.Contains(first.output.String(), "settings not read") })
+	qt.Assert(t, d.statusKept(first), qt.Equals, time.Minute)
+	d.submit(first, "plain", 3, 4)
+	d.awaitDone(first, "plain", 1, 4)
+}
--- /dev/null
+++ b/front/wave_test.go
@@ -0,0 +1,46 @@
+package front_test
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Each machine of a wave has its upkeep in time, one at once, also while the owner is
+// killed and answers are lost, and no work is lost.
+func TestWaveOfUpkeep(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.fleet.Lose(1)
+	d.playWave(func(owner *hostProcess) { owner.kill() })
+}
+
+// The owner is stopped, and its last orders had no answer. The next one begins within 0.2 s
+// and gives the orders again, but not for a machine of which its predecessor may have
+// ordered something right before.
+func TestWaveGoesOnWithTheNextOwner(t *testing.T) {
+	d := deploy(t, 3, 4, 300*time.Millisecond)
+	d.fleet.Lose(4)
+	d.playWave(func(owner *hostProcess) { qt.Assert(t, owner.command.Process.Signal(syscall.SIGTERM), qt.IsNil) })
+}
+
+// playWave plays a wave of upkeep beside some work, with an owner that ends meanwhile.
+func (d *deployment) playWave(end func(owner *hostProcess)) {
+	d.t.Helper()
+	for n := range 6 {
+		d.submit(d.hosts[n%3], "plain", n, 6)
+	}
+	d.rows.Put("op", "wave/7", []byte(`{"wave":7,"machines":["m0","m1","m2"],"within_s":12,"max_count":1}`))
+	d.await("a machine is down", func() bool { return d.fleet.Most() > 0 })
+	owner := d.owner()
+	end(owner)
+	d.await("the wave is done", func() bool { return strings.Contains(string(d.rows.Value("status", "wave/7")), `"done"`) })
+	for _, m := range []string{"m0", "m1", "m2"} {
+		qt.Check(d.t, d.fleet.Had(m, 7), qt.IsTrue)
+	}
+	qt.Assert(d.t, d.fleet.Most(), qt.Equals, 1)
+	qt.Assert(d.t, d.fleet.Faults(), qt.HasLen, 0)
+	d.awaitDone(d.other(owner), "plain", 0, 6)
+}
