scheduler: an owner may be asked to resign twice

A host that is stopped while its owner gives the cell up for new settings closed a channel a second time and crashed. Found by reading; the test panics without the mend.

--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -99,8 +99,10 @@
 	resigned bool
 	pruned   time.Duration
 	// loadTold is when the load was last logged.
-	loadTold  time.Duration
-	resigning chan struct{}
+	loadTold time.Duration
+	// resigning is closed once the owner is to give the cell up.
+	resigning     chan struct{}
+	resigningOnce sync.Once
 }
 
 // New returns the owner of the cell that a ledger was taken for.
@@ -160,8 +162,9 @@
 	})
 }
 
-// Resign makes Run record what is left, give the cell up and return.
-func (o *Owner) Resign() { close(o.resigning) }
+// Resign makes Run record what is left, give the cell up and return. A further call
+// changes nothing.
+func (o *Owner) Resign() { o.resigningOnce.Do(func() { close(o.resigning) }) }
 
 // Run decides until the context ends or the cell is lost. The error satisfies
 // ledger.ErrLost if another owner has it.
