cell, rackowner: one list of a job's runs, one look at its queue, state that could be derived goes

Four places walked the steps and tasks of a job for its runs; the order of service looked the queue of a step up three times and threw it away for the loop that needs it next. step.blocked was written and never read; ownedRack.first was decided == 0.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -73,7 +73,7 @@
 		}
 		changes = append(changes, Change{Job: j.Job, New: !j.recorded, Progress: j.progress()})
 		j.recorded, j.isChanged = true, false
-		if j.state.Final() && !j.hasRuns() {
+		if j.state.Final() && len(j.runs()) == 0 {
 			delete(c.jobs, j.ID)
 		}
 	}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -32,7 +32,7 @@
 		c.askForGang(now, s, queue, list, held)
 		return false
 	}
-	s.blocked, s.booked = 0, nil
+	s.booked = nil
 	c.alignCheckpoint(s)
 	for i, t := range s.tasks {
 		c.place(now, s, t, plan[i], number+1)
@@ -47,7 +47,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		c.withdrawAll(now, s, t, "other members of the gang have ended")
+		c.withdrawAll(now, t.runs, "other members of the gang have ended")
 	}
 }
 
@@ -75,13 +75,13 @@
 		return
 	}
 	if plan := planGang(s, good, held); plan != nil {
-		c.ask(now, s, *queue.Advice, spareFor(s, plan, good, held))
+		c.ask(now, s, queue, spareFor(s, plan, good, held))
 		s.booked = plan
 		return
 	}
 	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) })
 	if len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
-		c.ask(now, s, *queue.Advice, append(unasked, good...))
+		c.ask(now, s, queue, append(unasked, good...))
 	}
 }
 
@@ -123,9 +123,6 @@
 // on the workers that lack least, since small tasks would take each part of it
 // that becomes free.
 func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
-	if s.blocked == 0 {
-		s.blocked = now
-	}
 	list := c.candidates(now, s, queue)
 	plan := fill(s, list, held)
 	for _, w := range plan {
@@ -158,7 +155,7 @@
 
 // book keeps the room of gangs whose tickets are on their way, so that the question,
 // which may take a second, isn't in vain.
-func (c *Cell) book(now time.Duration, steps []*step, held map[string]task.Size) {
+func (c *Cell) book(now time.Duration, steps []ranked, held map[string]task.Size) {
 	for _, s := range steps {
 		if !s.Gang || s.booked == nil {
 			continue
--- a/cell/job.go
+++ b/cell/job.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/task"
@@ -46,8 +45,6 @@
 	tickets tickets
 	// failedRun is the last run of a gang whose failure was counted.
 	failedRun int
-	// blocked is when a gang first lacked room; 0 is never.
-	blocked time.Duration
 	// booked is the plan of a gang whose tickets are on their way.
 	booked []*worker
 }
@@ -112,12 +109,8 @@
 		return false
 	}
 	delete(c.jobs, id)
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			for _, r := range slices.Clone(t.runs) {
-				c.closeRun(now, c.workers[r.worker.ID], r)
-			}
-		}
+	for _, r := range j.runs() {
+		c.closeRun(now, c.workers[r.worker.ID], r)
 	}
 	c.note(Note{What: "job abandoned", Job: id, Why: "it could not be recorded"})
 	return true
@@ -208,11 +201,7 @@
 	}
 	j.state = state
 	if state != workload.Done {
-		for _, s := range j.steps {
-			for _, t := range s.tasks {
-				c.withdrawAll(now, s, t, why)
-			}
-		}
+		c.withdrawAll(now, j.runs(), why)
 	}
 	c.change(j)
 	c.note(Note{What: "job " + string(state), Job: j.ID, Why: why, Age: now - j.since})
--- a/cell/load.go
+++ b/cell/load.go
@@ -31,7 +31,7 @@
 		if s.Gang {
 			l.Gangs++
 		}
-		if queue, ok := c.catalogue.Queue(s.job.Queue); ok && queue.Advice != nil && !s.tickets.known() {
+		if s.queue.Advice != nil && !s.tickets.known() {
 			l.Unadvised++
 		}
 		for _, t := range s.tasks {
--- a/cell/place.go
+++ b/cell/place.go
@@ -79,7 +79,7 @@
 	if len(good) == 0 {
 		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) || !s.Room().Fits(w.free()) })
 	}
-	c.ask(now, s, *queue.Advice, good)
+	c.ask(now, s, queue, good)
 }
 
 // best returns the worker on which a task of the step leaves least room, of those
--- a/cell/record.go
+++ b/cell/record.go
@@ -58,16 +58,15 @@
 	return true
 }
 
-// hasRuns reports whether a run of the job has not ended.
-func (j *job) hasRuns() bool {
+// runs returns the runs of the job that have not ended.
+func (j *job) runs() []*run {
+	var runs []*run
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if len(t.runs) > 0 {
-				return true
-			}
+			runs = append(runs, t.runs...)
 		}
 	}
-	return false
+	return runs
 }
 
 // progress returns the record of a job.
--- a/cell/report.go
+++ b/cell/report.go
@@ -105,7 +105,7 @@
 		each.done = true
 		s.left--
 		if !s.Gang {
-			c.withdrawAll(now, s, each, "another run is done")
+			c.withdrawAll(now, each.runs, "another run is done")
 		}
 	}
 	c.change(s.job)
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -27,22 +27,13 @@
 		c.restoreStep(now, bound, j.steps[place], s)
 	}
 	if j.state.Final() {
-		c.withdrawRuns(now, j)
+		// The earlier owner may not have stopped them.
+		c.withdrawAll(now, j.runs(), "the job is "+string(j.state))
+		c.change(j)
 	}
 	c.stale = true
 }
 
-// withdrawRuns stops what the earlier owner may not have stopped of a job that is
-// final.
-func (c *Cell) withdrawRuns(now time.Duration, j *job) {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			c.withdrawAll(now, s, t, "the job is "+string(j.state))
-		}
-	}
-	c.change(j)
-}
-
 func (c *Cell) restoreStep(now, bound time.Duration, s *step, p StepProgress) {
 	s.begun = true
 	for i, t := range p.Tasks {
@@ -68,8 +59,7 @@
 	if w == nil {
 		// The worker is no longer announced; what runs there ends with its lease.
 		w = &worker{Worker: workload.Worker{ID: p.Worker, Life: p.Life}, runs: map[runKey]*run{}, gone: true}
-		c.workers[p.Worker] = w
-		c.order = append(c.order, w)
+		c.addWorker(w)
 	}
 	w.granted = max(w.granted, bound)
 	r := &run{id: s.taskID(t), number: p.Run, size: s.Room(), worker: w.Worker, state: runChart.Initial(), placedAt: now, progressed: now, restored: true, share: unknownShare}
--- a/cell/run.go
+++ b/cell/run.go
@@ -178,9 +178,9 @@
 	}
 }
 
-// withdrawAll stops all runs of a task.
-func (c *Cell) withdrawAll(now time.Duration, s *step, t *taskRecord, why string) {
-	for _, r := range slices.Clone(t.runs) {
+// withdrawAll stops runs.
+func (c *Cell) withdrawAll(now time.Duration, runs []*run, why string) {
+	for _, r := range runs {
 		c.withdraw(now, r, why)
 	}
 }
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 // lateFactor times its objective is when a job earns nothing more.
@@ -85,9 +86,9 @@
 	gangsHeld := 0
 	steps := c.waiting(now)
 	c.book(now, steps, held)
-	for _, s := range steps {
-		queue, ok := c.catalogue.Queue(s.job.Queue)
-		if !ok {
+	for _, r := range steps {
+		s, queue := r.step, r.queue
+		if !r.routed {
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.known() {
@@ -106,7 +107,7 @@
 }
 
 // waiting returns the steps with tasks that wait, in the order of service.
-func (c *Cell) waiting(now time.Duration) []*step {
+func (c *Cell) waiting(now time.Duration) []ranked {
 	var steps []ranked
 	for _, j := range c.jobs {
 		if j.state.Final() {
@@ -119,24 +120,21 @@
 		}
 	}
 	slices.SortFunc(steps, ranked.compare)
-	sorted := make([]*step, len(steps))
-	for i, s := range steps {
-		sorted[i] = s.step
-	}
-	return sorted
+	return steps
 }
 
 // ranked is a step with its place in the order of service.
 type ranked struct {
 	*step
+	// queue is that of the job; routed tells that the catalogue still has it.
+	queue  workload.Queue
+	routed bool
 	// standing tells what the job can still earn.
 	standing standing
 	// start is when the step must start for its job to be in time.
 	start time.Duration
 	// work is what the job takes in all, in processor-seconds.
 	work float64
-	// priority is that of the queue; 0 goes first among equals.
-	priority int
 }
 
 // standing is what a job can still earn.
@@ -150,12 +148,11 @@
 )
 
 func (c *Cell) rank(now time.Duration, s *step) ranked {
-	start := c.latestStart(s)
-	queue, _ := c.catalogue.Queue(s.job.Queue)
-	r := ranked{step: s, start: start, work: s.job.work, priority: queue.Priority}
-	switch overdue := now - start; {
+	queue, routed := c.catalogue.Queue(s.job.Queue)
+	r := ranked{step: s, queue: queue, routed: routed, start: s.latestStart(queue), work: s.job.work}
+	switch overdue := now - r.start; {
 	case overdue <= 0:
-	case overdue <= (lateFactor-1)*c.objective(s.job):
+	case overdue <= (lateFactor-1)*s.job.objective(queue):
 		r.standing = late
 	default:
 		r.standing = hopeless
@@ -170,7 +167,7 @@
 	if r.standing == late {
 		byStart = cmp.Compare(r.work, other.work)
 	}
-	return cmp.Or(cmp.Compare(r.standing, other.standing), byStart, cmp.Compare(r.priority, other.priority),
+	return cmp.Or(cmp.Compare(r.standing, other.standing), byStart, cmp.Compare(r.queue.Priority, other.queue.Priority),
 		cmp.Compare(r.id.Job, other.id.Job), cmp.Compare(r.id.Step, other.id.Step), cmp.Compare(r.id.Occurrence, other.id.Occurrence))
 }
 
@@ -184,13 +181,12 @@
 }
 
 // latestStart returns when a step must start for its job to meet its objective.
-func (c *Cell) latestStart(s *step) time.Duration {
-	return s.since + c.objective(s.job) - s.job.chains[s.id.Step]
+func (s *step) latestStart(queue workload.Queue) time.Duration {
+	return s.since + s.job.objective(queue) - s.job.chains[s.id.Step]
 }
 
 // objective returns the time in which a job should be done.
-func (c *Cell) objective(j *job) time.Duration {
-	queue, _ := c.catalogue.Queue(j.Queue)
+func (j *job) objective(queue workload.Queue) time.Duration {
 	chain := j.chain
 	if queue.Advice != nil {
 		chain += time.Duration(len(j.Steps)) * queue.Advice.Duration(objectiveWorkers)
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -74,7 +74,7 @@
 // first.
 func (c *Cell) askFirst(now time.Duration, s *step, queue workload.Queue) {
 	if !s.tickets.waitsForAnswer(now) {
-		c.ask(now, s, *queue.Advice, c.unasked(s, queue))
+		c.ask(now, s, queue, c.unasked(s, queue))
 	}
 }
 
@@ -92,7 +92,7 @@
 }
 
 // ask hands out a question about a step unless one is under way.
-func (c *Cell) ask(now time.Duration, s *step, advice workload.Advice, about []*worker) {
+func (c *Cell) ask(now time.Duration, s *step, queue workload.Queue, about []*worker) {
 	if len(about) == 0 || s.tickets.waitsForAnswer(now) {
 		return
 	}
@@ -100,10 +100,10 @@
 	for _, w := range about[:min(len(about), maxNamed)] {
 		names = append(names, w.ID)
 	}
-	expected := advice.Duration(len(names))
+	expected := queue.Advice.Duration(len(names))
 	s.tickets.pending, s.tickets.patience = now, expected+questionTimeout
 	c.actions.Questions = append(c.actions.Questions, Question{
-		Step: s.id, Workers: names, Expected: expected, Valid: advice.Valid, Due: c.latestStart(s),
+		Step: s.id, Workers: names, Expected: expected, Valid: queue.Advice.Valid, Due: s.latestStart(queue),
 	})
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -89,9 +89,7 @@
 	w := c.workers[announced.ID]
 	if w == nil {
 		w = &worker{Worker: announced, runs: map[runKey]*run{}}
-		c.workers[announced.ID] = w
-		c.order = append(c.order, w)
-		slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+		c.addWorker(w)
 		c.note(Note{What: "worker seen", Worker: w.ID, Why: announced.Service})
 	}
 	if announced.Draining && !w.Draining {
@@ -105,6 +103,12 @@
 	c.stale = true
 }
 
+func (c *Cell) addWorker(w *worker) {
+	c.workers[w.ID] = w
+	c.order = append(c.order, w)
+	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+}
+
 // WorkerGone tells that a worker is no longer announced. What it ran may run on
 // until its lease has ended.
 func (c *Cell) WorkerGone(now time.Duration, id string) {
--- a/rackowner/owner.go
+++ b/rackowner/owner.go
@@ -82,7 +82,7 @@
 // Claim begins to decide for a rack under an epoch, after an owner that may have
 // decided under the one before.
 func (o *Owner) Claim(now time.Time, name string, epoch uint64) {
-	o.ClaimAfter(now, name, epoch, epoch-1)
+	o.ClaimAfter(now, name, epoch, epoch-min(epoch, 1))
 }
 
 // ClaimAfter begins to decide for a rack under an epoch. Before is the highest epoch
@@ -96,7 +96,6 @@
 	o.racks[name] = r
 	o.relist(now, r)
 	r.complete = before == 0
-	r.first = before == 0
 	r.tellPartial()
 	o.inherit(now, r)
 }
--- a/rackowner/rack.go
+++ b/rackowner/rack.go
@@ -28,8 +28,6 @@
 	// was none, or its last digests were seen here, or the list was seen for as
 	// long as a lease lasts.
 	complete bool
-	// first tells that nobody decided for the rack before.
-	first bool
 	// decided is the highest epoch under which an owner before may have decided; 0 is
 	// none.
 	decided uint64
@@ -149,7 +147,7 @@
 // lapsed reports whether the leases have lapsed that owners before renewed. On a
 // worker that was heard under this epoch they could renew none since.
 func (r *ownedRack) lapsed(now time.Time) bool {
-	return r.first || !r.alone.IsZero() && now.Sub(r.alone) > worker.LapseLength
+	return r.decided == 0 || !r.alone.IsZero() && now.Sub(r.alone) > worker.LapseLength
 }
 
 // mayHaveRun reports whether an attempt that is not known here may have started
@@ -175,7 +173,7 @@
 // doubtBefore notes that what was asked of earlier owners may have run unknown to
 // this one. What was asked of this owner, it knows.
 func (r *ownedRack) doubtBefore() {
-	if !r.first {
+	if r.decided > 0 {
 		r.doubt(r.rack.Epoch())
 	}
 }
