scheduler, ledger, front, platform: one piece of code where two did the same

A tenure read the settings six times, which may change between two of them, and opened a client of the service of machines of its own each time.

--- a/breakdown/breakdown.go
+++ b/breakdown/breakdown.go
@@ -100,8 +100,8 @@
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
 		var l line
-		_, text, _ := bytes.Cut(lines.Bytes(), []byte("{"))
-		if json.Unmarshal(append([]byte("{"), text...), &l) != nil {
+		text := lines.Bytes()
+		if json.Unmarshal(text[max(0, bytes.IndexByte(text, '{')):], &l) != nil {
 			continue
 		}
 		takeovers.take(l)
--- a/cli/reload.go
+++ b/cli/reload.go
@@ -42,16 +42,19 @@
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
+		isDue := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+			isDue = true
 		case <-ticker.C:
-			if v := versionOf(path); v == known || v == (fileVersion{}) {
-				continue
-			}
 		}
-		known = versionOf(path)
+		v := versionOf(path)
+		if !isDue && (v == known || v == (fileVersion{})) {
+			continue
+		}
+		known = v
 		settings, err := platform.LoadSettings()
 		if err != nil {
 			log.WithField("why", err.Error()).Warn("front: settings not read, the earlier ones stay")
--- a/front/host.go
+++ b/front/host.go
@@ -45,6 +45,7 @@
 	store       *platform.Store
 	orders      *platform.Orders
 	advisor     atomic.Pointer[platform.Advisor]
+	machines    atomic.Pointer[platform.Machines]
 	hub         *peer.Hub
 	members     members
 	desk        *intake.Desk
@@ -88,6 +89,7 @@
 	}
 	h.current.Store(&settings)
 	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
+	h.machines.Store(platform.NewMachines(settings.MachinesAddress))
 	h.members = members{known: map[string]member{}, changed: h.connect}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
 	h.hub.Connected = h.passOn
@@ -96,10 +98,10 @@
 }
 
 // bounds returns what the cell may count on.
-func (h *Host) bounds() cell.Options {
+func bounds(s platform.Settings) cell.Options {
 	return cell.Options{
-		Lease: min(leaseBound, h.settings().MaxLease), StartLease: min(startLease, h.settings().MaxLease), ClockSkew: clockSkew,
-		StopTime: h.settings().StopTime,
+		Lease: min(leaseBound, s.MaxLease), StartLease: min(startLease, s.MaxLease), ClockSkew: clockSkew,
+		StopTime: s.StopTime,
 	}
 }
 
--- a/front/member.go
+++ b/front/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -12,7 +13,6 @@
 
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
-	"github.com/vanillaquay/vanillaquay/timer"
 )
 
 const (
@@ -50,12 +50,7 @@
 func (m *members) names() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := make([]string, 0, len(m.known))
-	for name := range m.known {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(m.known))
 }
 
 func (m *members) list(rows []ledger.Row) {
@@ -98,15 +93,8 @@
 		return
 	}
 	row := ledger.Row{Table: ledger.MemberTable, Key: s.Host, Value: value}
-	for {
-		_, err := h.store.Commit(ctx, ledger.Transaction{Writes: []ledger.Row{row}})
-		if err == nil {
-			h.log.WithFields(logrus.Fields{"address": s.IP, "port": s.PeerPort}).Info("front: entered the list of members")
-			return
-		}
-		if !timer.Sleep(ctx, enterRetry) {
-			return
-		}
+	if ledger.Put(ctx, h.store, row, enterRetry) {
+		h.log.WithFields(logrus.Fields{"address": s.IP, "port": s.PeerPort}).Info("front: entered the list of members")
 	}
 }
 
--- a/front/reconfigure.go
+++ b/front/reconfigure.go
@@ -32,6 +32,9 @@
 	if next.AdviceAddress != earlier.AdviceAddress {
 		h.advisor.Store(platform.NewAdvisor(next.AdviceAddress))
 	}
+	if next.MachinesAddress != earlier.MachinesAddress {
+		h.machines.Store(platform.NewMachines(next.MachinesAddress))
+	}
 	h.log.Info("front: settings changed")
 	if next.WithTenure(earlier) == next {
 		return
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -13,7 +13,6 @@
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/peer"
-	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/tenure"
 	"github.com/vanillaquay/vanillaquay/timer"
@@ -169,8 +168,9 @@
 
 // tenure takes the cell from an earlier owner and decides for it until it is lost.
 func (h *Host) tenure(ctx context.Context, earlier string) {
+	s := h.settings()
 	takeContext, cancel := context.WithTimeout(ctx, takeTimeout)
-	l, err := ledger.Take(takeContext, h.store, cellName, h.settings().Host, h.incarnation, earlier)
+	l, err := ledger.Take(takeContext, h.store, cellName, s.Host, h.incarnation, earlier)
 	cancel()
 	if err != nil {
 		h.log.WithField("why", err.Error()).Warn("front: cell not taken")
@@ -179,9 +179,9 @@
 	h.takeovers.Add(1)
 	catalogue, _ := h.desk.Catalogue()
 	o := scheduler.New(scheduler.Options{
-		Cell: cellName, Bound: h.bounds(), StatusKept: h.settings().StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
-		Holder: h.settings().Host, UpkeepTime: h.settings().UpkeepTime, TurnPause: h.settings().TurnPause,
-	}, l, h.store, h.orders, platform.NewMachines(h.settings().MachinesAddress), h, &h.count, h.log)
+		Cell: cellName, Bound: bounds(s), StatusKept: s.StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
+		Holder: s.Host, UpkeepTime: s.UpkeepTime, TurnPause: s.TurnPause,
+	}, l, h.store, h.orders, h.machines.Load(), h, &h.count, h.log)
 	h.mu.Lock()
 	h.owner = o
 	for _, w := range h.waves {
@@ -189,13 +189,13 @@
 	}
 	h.mu.Unlock()
 	h.observe(func(now time.Duration, w tenure.Watcher) tenure.Watcher {
-		return w.WithLease(now, h.settings().Host, l.Fence())
+		return w.WithLease(now, s.Host, l.Fence())
 	})
 	// The watch may have told of the tenure before.
 	h.connect()
 	h.desk.OwnerChanged()
 	h.tell()
-	h.passOn(h.settings().Host)
+	h.passOn(s.Host)
 	err = o.Run(ctx, catalogue)
 	h.mu.Lock()
 	h.owner = nil
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -108,19 +108,14 @@
 		return nil, errors.Annotatef(err, "head of cell %s", cell)
 	}
 	l := &Ledger{store: store, cell: cell, owner: owner, incarnation: incarnation}
-	for _, r := range page.Rows {
-		if r.Key != headKey {
-			continue
-		}
-		var h head
-		if err := codec.Unmarshal(r.Value, &h); err != nil {
-			return nil, errors.Annotatef(err, "head of cell %s", cell)
-		}
-		if h.Owner != "" && h.Owner != earlier && h.Owner != owner {
-			return nil, errors.Annotatef(ErrLost, "cell %s was taken by %s", cell, h.Owner)
-		}
-		l.version = r.Version
+	h, version, err := headOf(page.Rows)
+	if err != nil {
+		return nil, errors.Annotatef(err, "cell %s", cell)
+	}
+	if h.Owner != "" && h.Owner != earlier && h.Owner != owner {
+		return nil, errors.Annotatef(ErrLost, "cell %s was taken by %s", cell, h.Owner)
 	}
+	l.version = version
 	// The head row has a higher version after each transaction, so that this is more
 	// than any earlier owner's token and less than any later one's.
 	l.fence = int64(l.version) + 1
@@ -214,17 +209,23 @@
 
 // written returns the version of the head row if a transaction has written it.
 func written(rows []Row, number string) (Version, bool, error) {
+	h, version, err := headOf(rows)
+	return version, h.Transaction == number, err
+}
+
+// headOf returns the head row with its version; both are zero if there is none.
+func headOf(rows []Row) (head, Version, error) {
 	for _, r := range rows {
 		if r.Table != HeadTable || r.Key != headKey {
 			continue
 		}
 		var h head
 		if err := codec.Unmarshal(r.Value, &h); err != nil {
-			return 0, false, errors.Annotate(err, "head")
+			return head{}, 0, errors.Annotate(err, "head")
 		}
-		return r.Version, h.Transaction == number, nil
+		return h, r.Version, nil
 	}
-	return 0, false, nil
+	return head{}, 0, nil
 }
 
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -105,14 +106,9 @@
 
 // encode returns the pages of a bucket: maps of jobs to values.
 func (b *book[T]) encode(n int) ([][]byte, error) {
-	ids := make([]string, 0, len(b.entries[n]))
-	for id := range b.entries[n] {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
 	var pages [][]byte
 	page, size := map[string]codec.Raw{}, 0
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(b.entries[n])) {
 		value, err := codec.Marshal(b.entries[n][id])
 		if err != nil {
 			return nil, errors.Annotatef(err, "job %s", id)
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -42,12 +42,16 @@
 		o.fresh[c.ID] = append(waiting, reply)
 		return
 	}
-	accept := func() { reply(intake.Reply{Outcome: intake.Accepted}) }
 	if o.recording[c.ID] {
-		o.underway = append(o.underway, accept)
+		o.underway = append(o.underway, accept(reply))
 		return
 	}
-	accept()
+	accept(reply)()
+}
+
+// accept returns the effect that accepts a call.
+func accept(reply func(intake.Reply)) func() {
+	return func() { reply(intake.Reply{Outcome: intake.Accepted}) }
 }
 
 // refuse turns a new job away. An outage of the store that has lasted for some time
@@ -65,7 +69,7 @@
 	for id, replies := range o.fresh {
 		o.recording[id] = true
 		for _, reply := range replies {
-			o.effects = append(o.effects, func() { reply(intake.Reply{Outcome: intake.Accepted}) })
+			o.effects = append(o.effects, accept(reply))
 		}
 	}
 	o.fresh = map[string][]func(intake.Reply){}
@@ -110,5 +114,5 @@
 		reply(intake.Reply{Outcome: intake.Gone})
 		return
 	}
-	o.effects = append(o.effects, func() { reply(intake.Reply{Outcome: intake.Accepted}) })
+	o.effects = append(o.effects, accept(reply))
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -87,21 +87,21 @@
 	return delay
 }
 
-// stalled reports whether the store takes too long for new jobs.
-func (o *Owner) stalled(now time.Duration) bool {
-	return o.committing && now-o.commitBegun > stallBound
-}
-
 // Stalled reports whether the store takes too long to record.
-func (o *Owner) Stalled() bool {
+func (o *Owner) Stalled() bool { return o.stalled(clock.Now()) }
+
+func (o *Owner) stalled(now time.Duration) bool {
 	begun := time.Duration(o.underWay.Load())
-	return begun != 0 && clock.Now()-begun > stallBound
+	return begun != 0 && now-begun > stallBound
 }
 
 // orderly reports whether this owner may give orders: nobody else can have had the
 // cell for long.
-func (o *Owner) orderly(now time.Duration) bool {
-	return now-time.Duration(o.commitEnded.Load()) < tenure.OwnerPatience
+func (o *Owner) orderly(now time.Duration) bool { return o.recordedWithin(now, tenure.OwnerPatience) }
+
+// recordedWithin reports whether the last transaction has succeeded a short time ago.
+func (o *Owner) recordedWithin(now, bound time.Duration) bool {
+	return now-time.Duration(o.commitEnded.Load()) < bound
 }
 
 // resign records what is left and gives the cell up.
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -134,7 +134,7 @@
 // takeDown gives one order, if nobody else can have the cell.
 func (o *Owner) takeDown(ctx context.Context, order upkeep.Order) {
 	answer := upkeep.Busy
-	if clock.Now()-time.Duration(o.commitEnded.Load()) < orderlyBound {
+	if o.recordedWithin(clock.Now(), orderlyBound) {
 		answer = o.machines.Upkeep(ctx, o.options.Holder, o.Fence(), order)
 	}
 	o.log.WithFields(logrus.Fields{"wave": order.Wave, "machine": order.Machine, "answer": answer, "fence": o.Fence()}).Info("upkeep: machine ordered down")
@@ -156,11 +156,7 @@
 				o.log.WithError(err).Error("upkeep: status")
 				continue
 			}
-			for {
-				if _, err := o.store.Commit(ctx, ledger.Transaction{Writes: []ledger.Row{row}}); err == nil || !timer.Sleep(ctx, upkeepInterval) {
-					break
-				}
-			}
+			ledger.Put(ctx, o.store, row, upkeepInterval)
 		}
 	}
 }
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -110,7 +111,7 @@
 // Step returns the orders that are due, and the workers that must get nothing new
 // because their machines are next.
 func (p *Planner) Step(now time.Duration, workers Workers) (orders []Order, reserved []string) {
-	for _, number := range p.numbers() {
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
 		w := p.waves[number]
 		if w.done {
 			continue
@@ -130,15 +131,6 @@
 	return orders, reserved
 }
 
-func (p *Planner) numbers() []int64 {
-	numbers := make([]int64, 0, len(p.waves))
-	for n := range p.waves {
-		numbers = append(numbers, n)
-	}
-	slices.Sort(numbers)
-	return numbers
-}
-
 // settle takes machines off that are back: the list was asked for after their upkeep
 // was over and has them up, or lacks them.
 func (p *Planner) settle(w *wave) {
@@ -259,12 +251,7 @@
 	var changes []Progress
 	for _, number := range slices.Compact(p.changed) {
 		w := p.waves[number]
-		progress := Progress{Wave: number, Done: w.done}
-		for id := range w.begun {
-			progress.Begun = append(progress.Begun, id)
-		}
-		slices.Sort(progress.Begun)
-		changes = append(changes, progress)
+		changes = append(changes, Progress{Wave: number, Done: w.done, Begun: slices.Sorted(maps.Keys(w.begun))})
 	}
 	p.changed = nil
 	return changes
