--- a/intake/desk_test.go
+++ b/intake/desk_test.go
@@ -52,11 +52,16 @@
 	return replies
 }
 
-func TestReplyComesBack(t *testing.T) {
+// handedIn returns a desk whose sender has taken the first copy of a call.
+func handedIn() (*sender, *intake.Desk, <-chan intake.Reply, intake.Call) {
 	s := newSender()
 	d := newDesk(s)
 	replies := submit(d, 3*time.Second)
-	c := <-s.sent
+	return s, d, replies, <-s.sent
+}
+
+func TestReplyComesBack(t *testing.T) {
+	_, d, replies, c := handedIn()
 	d.Answered(intake.Answer{Number: c.Number + 1, Reply: intake.Reply{Outcome: intake.Gone}})
 	d.Answered(intake.Answer{Number: c.Number, Reply: intake.Reply{Outcome: intake.Accepted}})
 	qt.Assert(t, (<-replies).Outcome, qt.Equals, intake.Accepted)
@@ -64,10 +69,7 @@
 
 // A new owner may not know the call: it is sent again at once, under its number.
 func TestCallGoesToTheNextOwner(t *testing.T) {
-	s := newSender()
-	d := newDesk(s)
-	replies := submit(d, 3*time.Second)
-	first := <-s.sent
+	s, d, replies, first := handedIn()
 	d.Answered(intake.Answer{Number: first.Number, NotOwner: true})
 	begun := time.Now()
 	d.OwnerChanged()
@@ -81,10 +83,7 @@
 // One copy of a call is refused, the other may be accepted: the caller is told
 // nothing that may be false.
 func TestRefusalOfOneCopyIsNoRefusal(t *testing.T) {
-	s := newSender()
-	d := newDesk(s)
-	replies := submit(d, 3*time.Second)
-	c := <-s.sent
+	s, d, replies, c := handedIn()
 	d.OwnerChanged()
 	<-s.sent
 	d.Answered(intake.Answer{Number: c.Number, Reply: intake.Reply{Outcome: intake.Unavailable}})
@@ -92,10 +91,7 @@
 }
 
 func TestRefusalOfTheOnlyCopy(t *testing.T) {
-	s := newSender()
-	d := newDesk(s)
-	replies := submit(d, 3*time.Second)
-	c := <-s.sent
+	_, d, replies, c := handedIn()
 	d.Answered(intake.Answer{Number: c.Number, Reply: intake.Reply{Outcome: intake.Overloaded, RetryAfter: time.Second}})
 	qt.Assert(t, (<-replies).Outcome, qt.Equals, intake.Overloaded)
 }
@@ -129,10 +125,7 @@
 // copies are refused, the caller is told so: a call of which nothing is known can't be
 // tried again.
 func TestRefusalOfAllCopies(t *testing.T) {
-	s := newSender()
-	d := newDesk(s)
-	replies := submit(d, 3*time.Second)
-	first := <-s.sent
+	s, d, replies, first := handedIn()
 	<-s.sent
 	refused := intake.Answer{Number: first.Number, Reply: intake.Reply{Outcome: intake.Unavailable, RetryAfter: time.Second}}
 	d.Answered(refused)
@@ -148,10 +141,7 @@
 // A host that has not become the owner yet answers that it took nothing. That is no reason
 // to send the call at once again, and none to doubt the refusal of another copy.
 func TestCopyThatWasNotTakenHasNoEffect(t *testing.T) {
-	s := newSender()
-	d := newDesk(s)
-	replies := submit(d, 3*time.Second)
-	c := <-s.sent
+	s, d, replies, c := handedIn()
 	d.Answered(intake.Answer{Number: c.Number, NotOwner: true})
 	select {
 	case <-s.sent:
