server: a call on a new connection is answered though the host is stopping

The host had the connection (its rack started the work's later try at another host), its log has no arrival of the call. Ruled out: idle connections that are reused (the client reported a new one), the time to stop, ownership of the partition. Server.Finish closes the listener, waits for what has been taken in, then shuts down.

--- a/entry/listen.go
+++ b/entry/listen.go
@@ -18,12 +18,13 @@
 	"github.com/vanillaquay/vanillaquay/certificate"
 	"github.com/vanillaquay/vanillaquay/operator"
 	"github.com/vanillaquay/vanillaquay/peer"
+	"github.com/vanillaquay/vanillaquay/server"
 	"github.com/vanillaquay/vanillaquay/settings"
 )
 
 // listener is one HTTP server with the address that it is bound to.
 type listener struct {
-	server *http.Server
+	server *server.Server
 	bound  net.Listener
 	// watched tells that a request can be asked whether its caller hung up.
 	watched bool
@@ -69,12 +70,12 @@
 
 func (h *Host) newListener(handler http.Handler) listener {
 	limits := h.settings.Limits
-	return listener{server: &http.Server{
+	return listener{server: &server.Server{Server: http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
 		ErrorLog:          log.New(httpLog{h.log}, "", 0),
-	}}
+	}}}
 }
 
 // httpLog writes what net/http tells of bad connections.
@@ -121,17 +122,12 @@
 // serve runs every listener as a duty of the group.
 func (l *listeners) serve(group *errgroup.Group) {
 	for _, each := range []listener{l.callers, l.operators, l.peers} {
-		group.Go(func() error {
-			if err := each.server.Serve(each.bound); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				return errors.Trace(err)
-			}
-			return nil
-		})
+		group.Go(func() error { return each.server.Serve(each.bound) })
 	}
 }
 
 // finish stops the listener and waits for its requests in flight.
-func (l listener) finish(ctx context.Context) error { return l.server.Shutdown(ctx) }
+func (l listener) finish(ctx context.Context) error { return l.server.Finish(ctx) }
 
 // close ends every listener with its connections.
 func (l *listeners) close() {
--- a/front/host.go
+++ b/front/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/scheduler"
+	"github.com/vanillaquay/vanillaquay/server"
 	"github.com/vanillaquay/vanillaquay/tenure"
 	"github.com/vanillaquay/vanillaquay/upkeep"
 )
@@ -56,7 +56,7 @@
 	// leaving tells that the host is about to stop.
 	leaving atomic.Bool
 	duties  sync.WaitGroup
-	closers []*http.Server
+	closers []*server.Server
 
 	mu      sync.Mutex
 	watcher tenure.Watcher
@@ -130,7 +130,7 @@
 }
 
 // stop hands over and lets the calls in flight finish.
-func (h *Host) stop(servers []*http.Server) error {
+func (h *Host) stop(servers []*server.Server) error {
 	h.log.Info("front: stopping")
 	h.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, h.settings().StopGrace-stopMargin))
@@ -143,7 +143,7 @@
 	h.resign(ctx)
 	<-noticed
 	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.Finish(ctx); err != nil {
 			h.log.WithError(err).Warn("front: calls were still in flight")
 		}
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/server"
 )
 
 const (
@@ -34,7 +35,7 @@
 )
 
 // listen opens all servers.
-func (h *Host) listen() ([]*http.Server, error) {
+func (h *Host) listen() ([]*server.Server, error) {
 	callers, err := h.serve(h.settings().CallerAddress, &platform.Ingress{Intake: h.desk})
 	if err != nil {
 		return nil, err
@@ -56,24 +57,24 @@
 	if _, err := h.serve(net.JoinHostPort(h.settings().IP, strconv.Itoa(MetricsPort)), debug); err != nil {
 		return nil, err
 	}
-	return []*http.Server{callers, balancer}, nil
+	return []*server.Server{callers, balancer}, nil
 }
 
-func (h *Host) serve(address string, handler http.Handler) (*http.Server, error) {
+func (h *Host) serve(address string, handler http.Handler) (*server.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening at %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	opened := &server.Server{Server: http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
 	h.duties.Add(1)
 	go func() {
 		defer h.duties.Done()
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := opened.Serve(listener); err != nil {
 			h.log.WithError(err).WithField("address", address).Error("front: server ended")
 		}
 	}()
-	h.closers = append(h.closers, server)
-	return server, nil
+	h.closers = append(h.closers, opened)
+	return opened, nil
 }
 
 // ready tells the balancer whether this host takes calls.
