cell: decisions of a large cell cost as in a small one

Its owner looked at all workers for each step at each decision and for each question, and sorted all at each that is new. A step is now compared with the workers that advice allows, a question with 400 workers, each time others.

Cells of up to 400 workers decide as before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -30,6 +30,8 @@
 	workers map[string]*worker
 	// order lists the workers by ID, so that decisions repeat.
 	order []*worker
+	// lookedAt counts the workers that questions were chosen from.
+	lookedAt int
 	// changed holds the jobs whose record is out of date, in the order of change.
 	changed []*job
 	actions Actions
--- a/cell/place.go
+++ b/cell/place.go
@@ -23,8 +23,23 @@
 // for them or not.
 func (c *Cell) candidates(now time.Duration, s *step, queue workload.Queue) []*worker {
 	var list []*worker
-	for _, w := range c.order {
-		if w.usable(now) && serves(s, queue, w) && (queue.Advice == nil || s.tickets.isGood(w)) {
+	for _, w := range c.allowed(s, queue) {
+		if w.usable(now) && serves(s, queue, w) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// allowed returns the workers that advice lets a step run on, or all if it needs none.
+// They are few in a large cell, and a step is looked at again with each decision.
+func (c *Cell) allowed(s *step, queue workload.Queue) []*worker {
+	if queue.Advice == nil {
+		return c.order
+	}
+	list := make([]*worker, 0, len(s.tickets.named))
+	for _, id := range s.tickets.named {
+		if w := c.workers[id]; w != nil {
 			list = append(list, w)
 		}
 	}
--- /dev/null
+++ b/cell/size_test.go
@@ -0,0 +1,97 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+)
+
+// BenchmarkJob carries jobs of advised tasks through a cell that is idle otherwise,
+// by its number of workers.
+func BenchmarkJob(b *testing.B) {
+	for _, workers := range []int{48, 300, 3000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			w := newWorld(workers)
+			for n := 0; b.Loop(); n++ {
+				w.carryThrough(id(n))
+			}
+		})
+	}
+}
+
+// carryThrough hands a job of four advised tasks in and lets it end.
+func (w *world) carryThrough(id string) {
+	w.now += 5 * ms
+	w.Submit(w.now, job(id, "Advised", 4, nil))
+	w.decide()
+	for _, q := range w.questions {
+		tickets := map[string]string{}
+		for _, named := range q.Workers[:len(q.Workers)/3] {
+			tickets[named] = "T-" + named
+		}
+		w.Advised(w.now, w.now, q, tickets)
+	}
+	w.questions = nil
+	w.decide()
+	for _, s := range w.starts {
+		f := w.workers[s.Worker.ID]
+		f.end(s.Task, s.Run, cell.EndedDone)
+		w.report(f.ID)
+		w.decide()
+	}
+	w.starts = nil
+}
+
+// decide lets the cell give room to what waits, and carries out its orders.
+func (w *world) decide() {
+	w.Schedule(w.now)
+	actions, changes, _ := w.Take()
+	for _, c := range changes {
+		w.states[c.Job.ID] = c.Progress.State
+	}
+	w.questions = append(w.questions, actions.Questions...)
+	for _, s := range actions.Starts {
+		w.start(s)
+	}
+}
+
+// The decisions of a cell with ten times the workers take as much memory to make, which
+// repeats where the time does not.
+func TestDecisionsOfALargeCell(t *testing.T) {
+	bytes := func(workers int) float64 {
+		w := newWorld(workers)
+		n := 0
+		r := testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				w.carryThrough(id(n))
+			}
+		})
+		return float64(r.AllocedBytesPerOp())
+	}
+	small, large := bytes(300), bytes(3000)
+	qt.Assert(t, large <= 2*small, qt.IsTrue, qt.Commentf("%.0f bytes a job with 300 workers, %.0f with 3,000", small, large))
+}
+
+// Steps that come one after another to a large cell that is idle ask about different
+// workers, so that these share the work.
+func TestQuestionsSpreadOverALargeCell(t *testing.T) {
+	const workers, jobs = 3000, 30
+	w := newWorld(workers)
+	named := map[string]bool{}
+	for n := range jobs {
+		w.Submit(w.now, job(id(n), "Advised", 1, nil))
+		w.decide()
+		for _, q := range w.questions {
+			for _, name := range q.Workers {
+				named[name] = true
+			}
+		}
+		w.questions = nil
+	}
+	qt.Assert(t, len(named) >= workers/2, qt.IsTrue, qt.Commentf("%d workers", len(named)))
+}
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	questionTimeout = 2500 * time.Millisecond
 	// maxNamed is the most workers of one question; the service takes 100.
 	maxNamed = 100
+	// maxLookedAt is how many workers are compared for a question: enough to leave
+	// out three of four that are full.
+	maxLookedAt = 4 * maxNamed
 )
 
 // tickets is what is known of the workers that may run a step.
@@ -24,6 +28,8 @@
 	// good holds the tickets of workers that may run the step. Which these are
 	// never changes; a ticket lapses and is "" then.
 	good map[string]ticket
+	// named holds the keys of good in their order.
+	named []string
 	// asked holds the workers that a question has named.
 	asked map[string]bool
 	// pending is when the question under way was asked; 0 is none.
@@ -59,12 +65,6 @@
 // known reports whether a question about the step was ever answered.
 func (t *tickets) known() bool { return t.good != nil }
 
-// isGood reports whether a worker is known to be allowed, with or without a ticket.
-func (t *tickets) isGood(w *worker) bool {
-	_, ok := t.good[w.ID]
-	return ok
-}
-
 // waitsForAnswer reports whether a question is under way.
 func (t *tickets) waitsForAnswer(now time.Duration) bool {
 	return t.pending != 0 && now < t.pending+t.patience
@@ -78,11 +78,21 @@
 	}
 }
 
-// unasked lists the workers that no question about a step has named yet, those with
-// most room first.
+// unasked lists workers that no question about a step has named yet, those with most
+// room first. Of a large cell it looks at a part, each time at another one, so that a
+// question costs no more than in a small cell.
 func (c *Cell) unasked(s *step, queue workload.Queue) []*worker {
+	first := 0
+	if len(c.order) > maxLookedAt {
+		first = c.lookedAt % len(c.order)
+	}
 	var list []*worker
-	for _, w := range c.order {
+	for i := range c.order {
+		if len(list) == maxLookedAt {
+			break
+		}
+		c.lookedAt++
+		w := c.order[(first+i)%len(c.order)]
 		if w.announced() && serves(s, queue, w) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
 			list = append(list, w)
 		}
@@ -136,4 +146,5 @@
 			t.good[id] = ticket{value: value, until: received + q.Valid, life: w.Life}
 		}
 	}
+	t.named = slices.Sorted(maps.Keys(t.good))
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -105,8 +105,8 @@
 
 func (c *Cell) addWorker(w *worker) {
 	c.workers[w.ID] = w
-	c.order = append(c.order, w)
-	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	place, _ := slices.BinarySearchFunc(c.order, w.ID, func(other *worker, id string) int { return strings.Compare(other.ID, id) })
+	c.order = slices.Insert(c.order, place, w)
 }
 
 // WorkerGone tells that a worker is no longer announced. What it ran may run on
