cell, scheduler: idle workers of a large cell are looked at more rarely

Idle ones now share 300 looks a second, so that cells of up to 600 workers are as before; a start ends the rest, since the lease must go on.

TestIdleWorkersOfALargeCell.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -79,7 +79,7 @@
 		s.booked = plan
 		return
 	}
-	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) })
+	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) })
 	if len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
 		c.ask(now, s, queue, append(unasked, good...))
 	}
--- a/cell/load.go
+++ b/cell/load.go
@@ -20,7 +20,7 @@
 func (c *Cell) Load(now time.Duration) Load {
 	l := Load{Jobs: len(c.jobs)}
 	for _, w := range c.order {
-		if w.usable(now) {
+		if c.usable(now, w) {
 			l.Usable++
 			l.Capacity += w.Capacity.Processors
 			l.Used += w.used.Processors
--- a/cell/place.go
+++ b/cell/place.go
@@ -24,7 +24,7 @@
 func (c *Cell) candidates(now time.Duration, s *step, queue workload.Queue) []*worker {
 	var list []*worker
 	for _, w := range c.allowed(s, queue) {
-		if w.usable(now) && serves(s, queue, w) {
+		if c.usable(now, w) && serves(s, queue, w) {
 			list = append(list, w)
 		}
 	}
@@ -92,7 +92,7 @@
 // never named and have room.
 func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
 	if len(good) == 0 {
-		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !w.usable(now) || !s.Room().Fits(w.free()) })
+		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) || !s.Room().Fits(w.free()) })
 	}
 	c.ask(now, s, queue, good)
 }
--- a/cell/size_test.go
+++ b/cell/size_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 // BenchmarkJob carries jobs of advised tasks through a cell that is idle otherwise,
@@ -95,3 +97,23 @@
 	}
 	qt.Assert(t, len(named) >= workers/2, qt.IsTrue, qt.Commentf("%d workers", len(named)))
 }
+
+// Idle workers of a large cell are looked at more rarely, and get work all the same.
+func TestIdleWorkersOfALargeCell(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3000)
+	c.Assert(w.IdlePause("w0"), qt.Equals, 8*second)
+	w.now += 8 * second
+	w.submit(job(id(1), "Plain", 1, nil))
+	c.Assert(w.states[id(1)], qt.Equals, workload.Running)
+	busy := w.starts[0].Worker.ID
+	c.Assert(w.IdlePause(busy), qt.Equals, time.Duration(0))
+	w.now += 8 * second
+	w.submit(job(id(2), "Plain", 1, nil))
+	c.Assert(w.states[id(2)], qt.Not(qt.Equals), workload.Running)
+}
+
+// In a cell as the users have them an idle worker is looked at as often as a busy one.
+func TestIdleWorkersOfASmallCell(t *testing.T) {
+	qt.Assert(t, newWorld(350).IdlePause("w0"), qt.Equals, time.Duration(0))
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// silenceBound is how long a worker may be unheard and still get new work.
-	// Reports come every 2 s at the latest.
+	// reportInterval is how often a worker is looked at at the latest, idle or not.
+	reportInterval = 2 * time.Second
+	// silenceBound is how long a worker may be unheard and still get new work: the
+	// interval of its reports, and once more for one that is late.
 	silenceBound = 3500 * time.Millisecond
+	// idleLooks is how many idle workers an owner looks at in a second. A look takes it
+	// a third of a millisecond, and it has two fifths of a processor.
+	idleLooks = 300
 	// firstRest and longestRest bound the pause in which a worker that has failed
 	// gets nothing new; each further failure doubles it.
 	firstRest   = time.Second
@@ -76,8 +81,25 @@
 }
 
 // usable reports whether a worker may get new work.
-func (w *worker) usable(now time.Duration) bool {
-	return !w.gone && !w.Draining && !w.reserved && w.strangers == 0 && now >= w.strangersUntil && w.heard > 0 && now-w.heard < silenceBound && now >= w.restUntil
+func (c *Cell) usable(now time.Duration, w *worker) bool {
+	return !w.gone && !w.Draining && !w.reserved && w.strangers == 0 && now >= w.strangersUntil && w.heard > 0 && now-w.heard < silenceBound+c.idlePause(w) && now >= w.restUntil
+}
+
+// idlePause is how long an idle worker of a large cell needs no look. One that is lost
+// meanwhile may be sent a start, which goes without an answer.
+func (c *Cell) idlePause(w *worker) time.Duration {
+	if len(w.runs) > 0 {
+		return 0
+	}
+	return max(0, time.Duration(len(c.order))*time.Second/idleLooks-reportInterval)
+}
+
+// IdlePause is how long a worker needs no look, 0 if it has work.
+func (c *Cell) IdlePause(id string) time.Duration {
+	if w := c.workers[id]; w != nil {
+		return c.idlePause(w)
+	}
+	return 0
 }
 
 // announced reports whether a worker may be asked about: it need not have been heard
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -53,6 +53,9 @@
 	offset atomic.Pointer[time.Duration]
 	// shared tells that services run beside tasks that fill.
 	shared atomic.Bool
+	// idle is how long the worker needs no look, in nanoseconds; a start ends it.
+	idle    atomic.Int64
+	started *ring.Ring[struct{}]
 	// missingSince is when the worker was last missing from the list; 0 is never.
 	// Only the decision duty uses it.
 	missingSince time.Duration
@@ -93,7 +96,7 @@
 
 func (o *Owner) newDuty(ctx context.Context, w workload.Worker) *workerDuty {
 	ctx, cancel := context.WithCancel(ctx)
-	d := &workerDuty{owner: o, orders: ring.New[order](orderRing), looks: ring.New[struct{}](1), cancel: cancel}
+	d := &workerDuty{owner: o, orders: ring.New[order](orderRing), looks: ring.New[struct{}](1), started: ring.New[struct{}](1), cancel: cancel}
 	d.worker.Store(&w)
 	o.group.Add(2 + orderDuties)
 	go func() {
@@ -131,6 +134,9 @@
 				d.owner.lost.note(clock.Now())
 			}
 			failed, wait = 0, d.holdWait()
+			if d.idle.Load() > 0 && !d.rest(ctx) {
+				return
+			}
 		case failed == 0:
 			failed, wait, pause = 1, 0, firstHoldRetry
 		default:
@@ -142,6 +148,20 @@
 	}
 }
 
+// rest waits until an idle worker is to be looked at, or gets a start: its lease must
+// go on then. It reports whether the context still lasts.
+func (d *workerDuty) rest(ctx context.Context) bool {
+	due := time.NewTimer(time.Duration(d.idle.Load()))
+	defer due.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-due.C:
+	case <-d.started.Values():
+	}
+	return true
+}
+
 // holdWait is how long the next hold waits for an end.
 func (d *workerDuty) holdWait() time.Duration {
 	switch {
@@ -204,6 +224,7 @@
 	o := d.owner
 	number := o.cell.Heard(now, sent, id, report)
 	d.shared.Store(o.cell.Shared(id))
+	d.idle.Store(int64(o.cell.IdlePause(id)))
 	if number == 0 {
 		return
 	}
@@ -311,7 +332,10 @@
 	}
 	if err := d.orders.TryPut(order{start: &s}); err != nil {
 		o.cell.Unsent(now, s)
+		return
 	}
+	// A full ring means that the worker is about to be looked at.
+	_ = d.started.TryPut(struct{}{})
 }
 
 // stop hands an order to its worker's duty; it comes again if it is lost.
