tenure, front, ledger: an owner out of reach is replaced after 0.75 s

It was after 1.1 s and a rank of up to 0.5 s; jobs of the shortest queue have 0.9 s to spare. The lease is renewed each 0.35 s in place of 0.5 s (0.3 and 0.4 in transactions), announcements come each 0.2 s in place of 0.3 s, ranks are 120 ms apart in place of 250 ms. Taking at once is safe: one transaction wins.

--- a/front/tenure.go
+++ b/front/tenure.go
@@ -26,7 +26,7 @@
 	// announceInterval is the pause between two announcements of the owner, and
 	// announceShare its part for each member, so that the owner of a large cell
 	// sends a hundred a second at most.
-	announceInterval = 300 * time.Millisecond
+	announceInterval = 200 * time.Millisecond
 	announceShare    = 10 * time.Millisecond
 	// announcesMissed is how many announcements may be missing until the owner
 	// counts as out of reach.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -45,7 +45,7 @@
 	pageSize = 500
 	// renewal is the least age of a lease that is written again. Members follow
 	// the lease, so that each renewal costs them a call.
-	renewal = 400 * time.Millisecond
+	renewal = 300 * time.Millisecond
 )
 
 // head is the row that each transaction of an owner rewrites.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -4,19 +4,20 @@
 
 const (
 	// Renewal is the pause between two renewals of a lease.
-	Renewal = 500 * time.Millisecond
+	Renewal = 350 * time.Millisecond
 	// staleBound is the age of the last renewal at which an owner is taken to be
 	// gone or cut off from the store. A store that is 60 times slower than usual
 	// still renews every 1.2 s.
 	staleBound = 2500 * time.Millisecond
 	// staleUnlinked is the same for an owner that can't be reached, whose process
 	// has ended most likely: two renewals.
-	staleUnlinked = 1100 * time.Millisecond
+	staleUnlinked = 750 * time.Millisecond
 	// storeSilence is how old the last answer of the store may be for the lease to
 	// count as stale; it may be the store that is down.
 	storeSilence = 1500 * time.Millisecond
-	// rankDelay keeps candidates from taking the cell at once.
-	rankDelay = 250 * time.Millisecond
+	// rankDelay keeps candidates from taking the cell at once: one look at the lease,
+	// and the store's answer to the one before.
+	rankDelay = 120 * time.Millisecond
 	// OwnerPatience is how long an owner gives orders without a renewal.
 	OwnerPatience = 5 * time.Second
 )
