cell: a member of a gang that is done waits for the others

Members of a gang differ in size and end together; one that is done showed no progress for 3 s, and the gang was stopped for it.

Only a gang whose members are all done and that does not end counts as stuck at 100 percent. The log tells the progress.

--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -56,15 +56,42 @@
 // checkProgress stops a run that stands still on a worker that can be heard.
 func (c *Cell) checkProgress(now time.Duration, w *worker, r *run) {
 	s, t := c.find(r.id)
-	if s == nil || s.Daemon || w.heard <= r.progressed || now-r.progressed < stuckBound || t.done {
+	if s == nil || s.Daemon || w.heard <= r.progressed || t.done {
 		return
 	}
-	if s.Gang && !s.allRunning() {
+	progressed, waits := r.progressed, false
+	if s.Gang {
+		progressed, waits = s.gangProgressed(r)
+	}
+	if waits || now-progressed < stuckBound {
 		return
 	}
 	w.strike(now)
 	w.strikes++
-	c.withdraw(now, r, "no progress")
+	c.withdraw(now, r, fmt.Sprintf("no progress at %.0f percent", r.percent))
+}
+
+// complete is the progress, in percent, of a run whose own work is done.
+const complete = 100
+
+// gangProgressed returns when a member of a gang last made progress, and whether it
+// waits for others. The members are of different size and end together, so that one
+// that has done its work stands still until the last has.
+func (s *step) gangProgressed(r *run) (progressed time.Duration, waits bool) {
+	if !s.allRunning() {
+		return 0, true
+	}
+	if r.percent < complete {
+		return r.progressed, false
+	}
+	for _, t := range s.tasks {
+		other := t.runs[0]
+		if other.percent < complete {
+			return 0, true
+		}
+		progressed = max(progressed, other.progressed)
+	}
+	return progressed, false
 }
 
 func (s *step) allRunning() bool {
