scheduler: the owner of a large cell begins with its workers step by step

With 3,000 workers an owner that begins spends seconds of its two fifths of a processor on first looks and connections, does not renew its lease for 2.5 s, is replaced, and the next does the same. Ruled out by a profile of an owner of 1,500 stand-in workers: the decisions (a fifth of 0.15 of a core) and the looks themselves. 600 begin at once, as in any cell of the users' size, and 500 a second after that, those with runs first.

--- /dev/null
+++ b/scheduler/attending_test.go
@@ -0,0 +1,43 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/scheduler"
+)
+
+// begin lets an owner begin with workers for some time, and returns with how many it has.
+func begin(a *scheduler.Attending, from, length time.Duration, workers int) int {
+	begun := 0
+	for now := from; now < from+length; now += 10 * time.Millisecond {
+		taken := min(a.Allow(now), workers-begun)
+		a.Took(taken)
+		begun += taken
+	}
+	return begun
+}
+
+// The owner of a cell as the users have them begins with all workers at once.
+func TestSmallCellIsAttendedToAtOnce(t *testing.T) {
+	var a scheduler.Attending
+	qt.Assert(t, begin(&a, time.Hour, 10*time.Millisecond, 350), qt.Equals, 350)
+}
+
+// The owner of 3,000 workers has time left to renew its lease while it begins.
+func TestLargeCellIsAttendedToStepByStep(t *testing.T) {
+	c := qt.New(t)
+	var a scheduler.Attending
+	c.Assert(begin(&a, time.Hour, time.Second, 3000) <= 1100, qt.IsTrue)
+	c.Assert(begin(&a, time.Hour+time.Second, 5*time.Second, 1900), qt.Equals, 1900)
+}
+
+// Workers that come later are attended to at once again.
+func TestNewWorkersAfterARest(t *testing.T) {
+	c := qt.New(t)
+	var a scheduler.Attending
+	c.Assert(begin(&a, time.Hour, time.Second, 600), qt.Equals, 600)
+	c.Assert(begin(&a, time.Hour+2*time.Second, 10*time.Millisecond, 500), qt.Equals, 500)
+}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -50,3 +50,12 @@
 
 // Many is many.
 func (l *losses) Many(now time.Duration) bool { return l.many(now) }
+
+// Attending is attending.
+type Attending = attending
+
+// Allow is allow.
+func (a *attending) Allow(now time.Duration) int { return a.allow(now) }
+
+// Took is took.
+func (a *attending) Took(workers int) { a.took(workers) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -63,7 +63,9 @@
 	cell   *cell.Cell
 	desk   advice.Desk
 	duties map[string]*workerDuty
-	group  sync.WaitGroup
+	// attending limits how fast duties begin.
+	attending attending
+	group     sync.WaitGroup
 
 	// catalogue is a version of the operator's queues that is not in force yet.
 	catalogue atomic.Pointer[workload.Catalogue]
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -73,19 +75,32 @@
 	pace  *cell.Pace
 }
 
-// attend begins a duty for each worker that is new, and ends those of workers that
-// are gone.
+// attend begins duties for workers that are new, and ends those of workers that are
+// gone.
 func (o *Owner) attend(ctx context.Context) {
 	if o.cell.Workers() == len(o.duties) {
 		return
 	}
+	allowed := o.attending.allow(clock.Now())
+	if allowed == 0 {
+		return
+	}
 	known := map[string]bool{}
+	var fresh []string
 	for _, id := range o.cell.WorkerIDs() {
 		known[id] = true
 		if w, ok := o.cell.Worker(id); ok && o.duties[id] == nil && w.Address != "" {
-			o.duties[id] = o.newDuty(ctx, w)
+			fresh = append(fresh, id)
 		}
 	}
+	// Those with runs go first: their leases are to go on.
+	slices.SortStableFunc(fresh, func(a, b string) int { return cmp.Compare(o.cell.Runs(b), o.cell.Runs(a)) })
+	fresh = fresh[:min(len(fresh), allowed)]
+	for _, id := range fresh {
+		w, _ := o.cell.Worker(id)
+		o.duties[id] = o.newDuty(ctx, w)
+	}
+	o.attending.took(len(fresh))
 	for id, d := range o.duties {
 		if !known[id] {
 			d.cancel()
