cell: room booked for a gang stays booked while two others hold room

A gang that fits but lacks valid tickets books its room and asks, for 0.6 s. Each decision gave the room to the gang first and, if tickets still lacked, kept it only for the two gangs that hold room: what came after the third took its room, and the question was in vain.

TestRoomOfAGangIsKeptWhileItAsks failed before.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -30,6 +30,7 @@
 	plan := planGang(s, c.ticketed(now, s, queue, list), held)
 	if plan == nil {
 		c.askForGang(now, s, queue, list, held)
+		keep(s, held)
 		return false
 	}
 	s.booked = nil
@@ -123,6 +124,10 @@
 // on the workers that lack least, since small tasks would take each part of it
 // that becomes free.
 func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
+	if s.booked != nil {
+		// It has all that it needs.
+		return
+	}
 	list := c.candidates(now, s, queue)
 	plan := fill(s, list, held)
 	for _, w := range plan {
@@ -164,13 +169,18 @@
 			s.booked = nil
 			continue
 		}
-		for _, w := range s.booked {
-			held[w.ID] = held[w.ID].Plus(s.Room())
-		}
+		keep(s.step, held)
+	}
+}
+
+// keep keeps the room that is booked for a gang from other steps, release gives it to
+// the gang.
+func keep(s *step, held map[string]task.Size) {
+	for _, w := range s.booked {
+		held[w.ID] = held[w.ID].Plus(s.Room())
 	}
 }
 
-// release gives a gang the room that is booked for it.
 func release(s *step, held map[string]task.Size) {
 	for _, w := range s.booked {
 		held[w.ID] = held[w.ID].Minus(s.Room())
--- a/cell/gang_test.go
+++ b/cell/gang_test.go
@@ -64,3 +64,35 @@
 	}
 	c.Assert(len(w.stops) > 0, qt.IsTrue)
 }
+
+// Several gangs wait. One that fits asks for its tickets; tasks that come after it must
+// not take its room before the answer, though two gangs before it find none.
+func TestRoomOfAGangIsKeptWhileItAsks(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2)
+	w.addWorker("w2", "rare")
+	w.reportAll()
+	for n := range 2 {
+		w.submit(job(id(n), "Plain", 2, func(s *workload.Step) {
+			s.Gang, s.Requires, s.Size.Processors, s.Estimate = true, "rare", 8*task.Processor, 4*second
+		}))
+	}
+	w.submit(job(id(3), "Plain", 2, func(s *workload.Step) { s.Size.Processors, s.MaxPerWorker = 4*task.Processor, 1 }))
+	w.submit(job(id(2), "Advised", 2, func(s *workload.Step) {
+		s.Gang, s.Size.Processors, s.Estimate = true, 8*task.Processor, 5*second
+	}))
+	common := func(id string) bool { return id != "w2" }
+	w.advise(common)
+	// The tickets of the first answer have lapsed by the time that there is room.
+	w.now += 3 * second
+	for _, f := range w.workers {
+		f.endAll(cell.EndedDone)
+	}
+	w.reportAll()
+	c.Assert(w.questions, qt.HasLen, 1)
+	for n := range 4 {
+		w.submit(job(id(10+n), "Plain", 1, func(s *workload.Step) { s.Size.Processors, s.Estimate = 4*task.Processor, 20*second }))
+	}
+	w.advise(common)
+	c.Assert(w.states[id(2)], qt.Equals, workload.Running)
+}
