tenure, front: what an owner said of itself does not count for the next

With 300 hosts an owner announces itself each 3 s. Ruled out: the lease's age alone (2.5 s then), the link's grace of 1.5 s, which the flag went before.

What a host hears of the owner is one value, tenure.Link.

--- a/front/host.go
+++ b/front/host.go
@@ -60,13 +60,8 @@
 
 	mu      sync.Mutex
 	watcher tenure.Watcher
-	// ownerSince is when the owner was last another one.
-	ownerSince time.Duration
-	// linkedAt is when this host last heard the owner, which announces itself every
-	// announced.
-	linkedAt, announced time.Duration
-	// ownerStalled tells that the store does not record for the owner.
-	ownerStalled bool
+	// link is what this host hears from the owner.
+	link tenure.Link
 	// near tells that the store stands in this region.
 	near  bool
 	owner *scheduler.Owner
--- a/front/link.go
+++ b/front/link.go
@@ -178,6 +178,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if t.Fence == h.watcher.Fence && from == t.Owner {
-		h.linkedAt, h.announced, h.ownerStalled = clock.Now(), t.Interval, t.Stalled
+		h.link = h.link.WithAnnouncement(clock.Now(), t.Interval, t.Stalled)
 	}
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -94,7 +94,7 @@
 	now := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.owner != nil || now-h.linkedAt < readyGrace
+	return h.owner != nil || now-h.link.Heard < readyGrace
 }
 
 // metrics writes counters and latency histograms as lines of a name and a value.
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -23,14 +23,9 @@
 	candidateInterval = 100 * time.Millisecond
 	// takeTimeout bounds the taking of a cell.
 	takeTimeout = 3 * time.Second
-	// announceInterval is the pause between two announcements of the owner, and
-	// announceShare its part for each member, so that the owner of a large cell
-	// sends a hundred a second at most.
-	announceInterval = 200 * time.Millisecond
-	announceShare    = 10 * time.Millisecond
-	// announcesMissed is how many announcements may be missing until the owner
-	// counts as out of reach.
-	announcesMissed = 3
+	// announceShare is the part of each member in the pause between two announcements
+	// of the owner, so that the owner of a large cell sends a hundred a second at most.
+	announceShare = 10 * time.Millisecond
 	// leaseWait keeps the store's answers to the watch of the lease coming.
 	leaseWait = 700 * time.Millisecond
 	// quickStore is the age up to which the last answer of the store says that the
@@ -38,8 +33,6 @@
 	quickStore = leaseWait + 100*time.Millisecond
 	// resignPoll is the pause between two looks at whether the cell is given up.
 	resignPoll = 10 * time.Millisecond
-	// linkGrace is how long the link to a new owner may take to come up.
-	linkGrace = 1500 * time.Millisecond
 	// nearBound is the longest call to a store in the same region: 4 ms for the
 	// answer and a few for the way. Between regions it takes 44 ms.
 	nearBound = 25 * time.Millisecond
@@ -107,7 +100,7 @@
 	changed := h.watcher.Owner != earlier.Owner || h.watcher.Fence != earlier.Fence
 	owner, fence := h.watcher.Owner, h.watcher.Fence
 	if changed {
-		h.ownerSince = now
+		h.link = h.link.WithOwner(now)
 	}
 	h.mu.Unlock()
 	if !changed {
@@ -123,14 +116,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.owner != nil {
-		h.linkedAt = now
+		h.link = h.link.WithAnnouncement(now, 0, false)
 		return true
 	}
-	if h.ownerStalled && now-h.watcher.StoreHeard < quickStore {
-		// The store serves this host and not the owner.
-		return false
-	}
-	return now-h.linkedAt < announcesMissed*max(announceInterval, h.announced) || now-h.ownerSince < linkGrace
+	return h.link.Up(now, now-h.watcher.StoreHeard < quickStore)
 }
 
 // rank is the place of this host among the candidates for a tenure.
@@ -243,7 +232,7 @@
 }
 
 func (h *Host) announcePause() time.Duration {
-	return max(announceInterval, time.Duration(len(h.members.names()))*announceShare)
+	return max(tenure.AnnounceInterval, time.Duration(len(h.members.names()))*announceShare)
 }
 
 func (h *Host) tell() {
