cell: room for a gang is kept where its members may go

What a gang lacks was kept on the worker that lacks least, also for more members than the step allows on one worker; small tasks went on to fill the others. TestRoomIsKeptWhereAMemberMayGo failed before. Besides, tests of their own for racks shared, data, labels, the most on a worker and occurrences, which passed at once.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -129,27 +129,36 @@
 		return
 	}
 	list := c.candidates(now, s, queue)
+	members := map[string]int{}
+	hold := func(w *worker) {
+		held[w.ID] = held[w.ID].Plus(s.Room())
+		members[w.ID]++
+	}
 	plan := fill(s, list, held)
 	for _, w := range plan {
-		held[w.ID] = held[w.ID].Plus(s.Room())
+		hold(w)
 	}
 	for range len(s.tasks) - len(plan) {
-		w := nearest(s, list, held)
+		w := nearest(s, list, held, members)
 		if w == nil {
 			return
 		}
-		held[w.ID] = held[w.ID].Plus(s.Room())
+		hold(w)
 	}
 }
 
-// nearest returns the worker that lacks least for a task of a step.
-func nearest(s *step, list []*worker, held map[string]task.Size) *worker {
+// nearest returns the worker that lacks least for a task of a step. members counts the
+// tasks that it is held for already.
+func nearest(s *step, list []*worker, held map[string]task.Size, members map[string]int) *worker {
 	var chosen *worker
 	var least float64
 	for _, w := range list {
 		if !s.Room().Fits(w.Capacity.Minus(held[w.ID])) {
 			continue
 		}
+		if s.MaxPerWorker > 0 && s.tasksOn(w)+members[w.ID] >= s.MaxPerWorker {
+			continue
+		}
 		lacks := s.Room().Minus(w.free().Minus(held[w.ID])).Dominant(w.Capacity)
 		if chosen == nil || lacks < least {
 			chosen, least = w, lacks
