scheduler: a worker forgets ends of its present life only

A transaction that ends after a worker has begun another life told the worker, by the number of the earlier one, to forget ends that nobody had seen; their tasks ran again. Ends are counted anew in each life, and the reset at silence came before the transaction's end. Slow stores and workers that crash have the same order of events.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -65,3 +65,15 @@
 
 // Handle is handle.
 func (o *Owner) Handle(e func(now time.Duration)) { o.handle(e) }
+
+// Noted is noted.
+type Noted = noted
+
+// Heard is heard.
+func (n *noted) Heard(life int64) { n.heard(life) }
+
+// Record is record.
+func (n *noted) Record(life, number int64) { n.record(life, number) }
+
+// Forget is forget.
+func (n *noted) Forget() int64 { return n.forget() }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -48,8 +48,8 @@
 	orders *ring.Ring[order]
 	looks  *ring.Ring[struct{}]
 	cancel context.CancelFunc
-	// recorded is the end that the worker may forget, in the life it is of.
-	recorded atomic.Pointer[seen]
+	// ends tells which ends the worker may forget.
+	ends noted
 	// offset is the worker's clock against this host's; nil while the worker
 	// hasn't answered lately.
 	offset atomic.Pointer[time.Duration]
@@ -63,11 +63,6 @@
 	missingSince time.Duration
 }
 
-// seen is the number of an end that is recorded.
-type seen struct {
-	life, number int64
-}
-
 // order is a start, a stop or a share.
 type order struct {
 	start *cell.Start
@@ -212,9 +207,7 @@
 	if offset := d.offset.Load(); offset != nil {
 		until = (sent + *offset + o.options.Bound.Lease).Milliseconds()
 		o.deliver(ctx, func(time.Duration) { o.cell.Granted(sent, w.ID) })
-		if s := d.recorded.Load(); s != nil {
-			forget = s.number
-		}
+		forget = d.ends.forget()
 	}
 	o.count.Looks.Add(1)
 	lists, err := o.workers.Hold(ctx, w.Address, w.ID, o.Fence(), forget, until, wait)
@@ -226,6 +219,7 @@
 		return false
 	}
 	received := clock.Now()
+	d.ends.heard(lists.Report.Life)
 	offset := time.Duration(lists.Clock)*time.Millisecond - received
 	if d.offset.Swap(&offset) == nil {
 		o.log.WithFields(logrus.Fields{"worker": w.ID, "life": lists.Report.Life}).Info("scheduler: worker heard")
@@ -243,14 +237,13 @@
 	if number == 0 {
 		return
 	}
-	if s := d.recorded.Load(); s != nil && s.life == report.Life && s.number >= number {
+	if d.ends.has(report.Life, number) {
 		return
 	}
-	o.effects = append(o.effects, func() { d.recorded.Store(&seen{life: report.Life, number: number}) })
+	o.effects = append(o.effects, func() { d.ends.record(report.Life, number) })
 }
 
-// silent notes that a worker gave no answer. The number of the last end is
-// forgotten with the clock, as the worker may be another life when it is back.
+// silent notes that a worker gave no answer. It may be another life when it is back.
 func (d *workerDuty) silent(err error) {
 	o := d.owner
 	if errors.Is(err, cell.ErrFenced) {
@@ -260,7 +253,6 @@
 	if d.offset.Swap(nil) != nil {
 		o.log.WithFields(logrus.Fields{"worker": d.worker.Load().ID, "why": err.Error()}).Warn("scheduler: worker silent")
 	}
-	d.recorded.Store(nil)
 }
 
 // send carries out orders.
