cell, scheduler: a placed run does not lapse before its order is sent

An idle worker of a large cell is looked at each 8 s, so that its lease has ended when a task is placed on it. A placed run counts as granted from its place on, an order counts as granted when it is queued, and one that waits 2 s for its turn is not sent. TestPlacedRunOutlastsTheLeaseOfAnIdleWorker failed before.

--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -37,10 +37,9 @@
 // overdue closes what the end of its lease has ended, sends stops again and moves
 // what makes no progress.
 func (c *Cell) overdue(now time.Duration, w *worker) {
-	lapsed := now > c.leaseEnd(w) && now-w.heard > c.options.Lease
 	for _, r := range w.sortedRuns() {
 		switch {
-		case lapsed && (w.granted > 0 || w.gone):
+		case c.lapsed(now, w, r) && (w.granted > 0 || w.gone):
 			c.note(Note{What: "run lapsed", Job: r.id.Job, Task: r.id.String(), Run: r.number, Worker: w.ID, Why: "the lease has ended", Age: now - w.granted})
 			c.apply(r, "Lapsed")
 			c.closeRun(now, w, r)
@@ -53,6 +52,16 @@
 	c.dropIfEmpty(w)
 }
 
+// lapsed reports whether nothing that was granted can still let a run go on. The order
+// for one that is placed may be about to be sent, with a grant of its own.
+func (c *Cell) lapsed(now time.Duration, w *worker, r *run) bool {
+	granted := w.granted
+	if r.state == placed {
+		granted = max(granted, r.placedAt)
+	}
+	return now > c.leaseEnd(granted) && now-w.heard > c.options.Lease
+}
+
 // checkProgress stops a run that stands still on a worker that can be heard.
 func (c *Cell) checkProgress(now time.Duration, w *worker, r *run) {
 	s, t := c.find(r.id)
--- a/cell/size_test.go
+++ b/cell/size_test.go
@@ -117,3 +117,19 @@
 func TestIdleWorkersOfASmallCell(t *testing.T) {
 	qt.Assert(t, newWorld(350).IdlePause("w0"), qt.Equals, time.Duration(0))
 }
+
+// A task is placed on an idle worker whose lease ended while it needed none. The run
+// waits for its record meanwhile, and must not count as lapsed: its order is about to be
+// sent.
+func TestPlacedRunOutlastsTheLeaseOfAnIdleWorker(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3000)
+	w.now += 8 * second
+	w.Submit(w.now, job(id(1), "Plain", 1, nil))
+	w.Schedule(w.now)
+	actions, _, _ := w.Take()
+	c.Assert(actions.Starts, qt.HasLen, 1)
+	w.now += 100 * ms
+	w.Tick(w.now, w.now.Milliseconds())
+	c.Assert(w.Wanted(actions.Starts[0]), qt.IsTrue)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// leaseEnd returns when nothing that was granted can still run on a worker.
-func (c *Cell) leaseEnd(w *worker) time.Duration {
-	return w.granted + c.options.Lease + time.Duration(float64(c.options.Lease)*c.options.ClockSkew) + leaseMargin
+// leaseEnd returns when nothing can still run that was granted at a time.
+func (c *Cell) leaseEnd(granted time.Duration) time.Duration {
+	return granted + c.options.Lease + time.Duration(float64(c.options.Lease)*c.options.ClockSkew) + leaseMargin
 }
 
 // Runs returns how many runs a worker has.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -39,6 +39,9 @@
 	orderRing = 1024
 	// orderDuties is how many orders a worker gets at once.
 	orderDuties = 2
+	// orderPatience is how long a start may wait for a duty: half of a lease, within
+	// which the cell knows that it may be sent.
+	orderPatience = 2 * time.Second
 )
 
 // workerDuty speaks with one worker.
@@ -66,8 +69,10 @@
 // order is a start, a stop or a share.
 type order struct {
 	start *cell.Start
-	stop  *cell.Stop
-	pace  *cell.Pace
+	// queued is when a start was handed out.
+	queued time.Duration
+	stop   *cell.Stop
+	pace   *cell.Pace
 }
 
 // attend begins duties for workers that are new, and ends those of workers that are
@@ -264,7 +269,7 @@
 		case order := <-d.orders.Values():
 			switch {
 			case order.start != nil:
-				d.sendStart(ctx, *order.start)
+				d.sendStart(ctx, *order.start, order.queued)
 			case order.stop != nil:
 				d.sendStop(ctx, *order.stop)
 			default:
@@ -274,14 +279,14 @@
 	}
 }
 
-func (d *workerDuty) sendStart(ctx context.Context, s cell.Start) {
+func (d *workerDuty) sendStart(ctx context.Context, s cell.Start, queued time.Duration) {
 	o, w := d.owner, d.worker.Load()
 	answered := func(a cell.Answer) {
 		o.deliver(ctx, func(now time.Duration) { o.cell.Answered(now, s.Task, s.Run, w.ID, a) })
 	}
 	sent := clock.Now()
 	offset := d.offset.Load()
-	if offset == nil || !o.orderly(sent) {
+	if offset == nil || !o.orderly(sent) || sent-queued > orderPatience {
 		answered(cell.Unsent)
 		return
 	}
@@ -337,7 +342,9 @@
 		o.cell.Unsent(now, s)
 		return
 	}
-	if err := d.orders.TryPut(order{start: &s}); err != nil {
+	// Until it is sent, the lease must not count as ended.
+	o.cell.Granted(now, s.Worker.ID)
+	if err := d.orders.TryPut(order{start: &s, queued: now}); err != nil {
 		o.cell.Unsent(now, s)
 		return
 	}
