ledger, front: calls for changes are made again once the store is back

Ruled out: resets, which are tried again after 0.3 s, and calls from before the silence, which the store ends as it returns. The watch of the lease, which asks each 0.7 s, now tells the others that the store is back.

--- a/front/host.go
+++ b/front/host.go
@@ -58,6 +58,9 @@
 	duties  sync.WaitGroup
 	closers []*server.Server
 
+	// catalogueAgain and membersAgain make the call again that waits for a change.
+	catalogueAgain, membersAgain *ring.Ring[struct{}]
+
 	mu      sync.Mutex
 	watcher tenure.Watcher
 	// link is what this host hears from the owner.
@@ -81,6 +84,7 @@
 		log: log, incarnation: uuid.NewString()[:8],
 		store: platform.NewStore(settings.StoreAddress), orders: platform.NewOrders(),
 		waves: map[int64]upkeep.Wave{}, questions: ring.New[asked](questionRing),
+		catalogueAgain: ring.New[struct{}](1), membersAgain: ring.New[struct{}](1),
 	}
 	h.current.Store(&settings)
 	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
@@ -199,7 +203,7 @@
 	}
 	ledger.Watch{
 		Store: h.store, Table: platform.OperatorTable,
-		Change: take,
+		Change: take, Again: h.catalogueAgain.Values(),
 		Failed: func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
 	}.Run(ctx)
 }
--- a/front/member.go
+++ b/front/member.go
@@ -102,7 +102,7 @@
 func (h *Host) watchMembers(ctx context.Context) {
 	ledger.Watch{
 		Store: h.store, Table: ledger.MemberTable, Pause: memberPause,
-		List: h.members.list, Change: h.members.change,
+		List: h.members.list, Change: h.members.change, Again: h.membersAgain.Values(),
 		Failed: func(err error) { h.log.WithField("why", err.Error()).Warn("front: members not read") },
 	}.Run(ctx)
 }
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/peer"
+	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/tenure"
 	"github.com/vanillaquay/vanillaquay/timer"
@@ -102,7 +103,11 @@
 	if changed {
 		h.link = h.link.WithOwner(now)
 	}
+	returned := h.watcher.StoreReturned(earlier)
 	h.mu.Unlock()
+	if returned {
+		h.followAgain()
+	}
 	if !changed {
 		return
 	}
@@ -111,6 +116,15 @@
 	h.desk.OwnerChanged()
 }
 
+// followAgain makes the calls again by which this host follows the configuration and the
+// members: one that was sent while the store was silent gets no answer for 15 s.
+func (h *Host) followAgain() {
+	for _, r := range []*ring.Ring[struct{}]{h.catalogueAgain, h.membersAgain} {
+		// A full ring means that the call is about to be made again.
+		_ = r.TryPut(struct{}{})
+	}
+}
+
 // linked reports whether this host hears the owner, or may not have done so yet.
 func (h *Host) linked(now time.Duration) bool {
 	h.mu.Lock()
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -36,8 +36,14 @@
 	Alive func()
 	// Failed is told of an error; nil is nobody.
 	Failed func(err error)
+	// Again ends the call under way, which the store may have lost, and makes it
+	// again; nil never does.
+	Again <-chan struct{}
 }
 
+// ErrAgain is the error of a call that was ended to be made again.
+var ErrAgain = errors.ConstError("the store was away: the call is made again")
+
 // Run follows the table until the context ends.
 func (w Watch) Run(ctx context.Context) {
 	after, listed := Version(0), false
@@ -56,7 +62,7 @@
 			if w.Alive != nil {
 				w.Alive()
 			}
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrAgain):
 			pause = 0
 		default:
 			if w.Failed != nil && ctx.Err() == nil {
@@ -90,8 +96,20 @@
 	if wait == 0 {
 		wait = feedWait
 	}
-	page, err := w.Store.Feed(ctx, w.Table, after, wait)
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-w.Again:
+			cancel(ErrAgain)
+		case <-limited.Done():
+		}
+	}()
+	page, err := w.Store.Feed(limited, w.Table, after, wait)
 	if err != nil {
+		if errors.Is(context.Cause(limited), ErrAgain) {
+			return after, ErrAgain
+		}
 		return after, err
 	}
 	for _, r := range page.Rows {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -53,6 +53,12 @@
 	return w
 }
 
+// StoreReturned reports whether the store has come back after a pause since an earlier
+// state of the watcher.
+func (w Watcher) StoreReturned(earlier Watcher) bool {
+	return earlier.StoreHeard != 0 && w.StoreBack != earlier.StoreBack
+}
+
 // ShouldTake reports whether a host takes the cell. rank is its place among the
 // candidates, linked tells whether it has a connection to the owner, and own that the
 // owner is an earlier process of the host itself, which has ended for certain.
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -74,3 +74,12 @@
 	w := watch(10*second, 10*second).WithLease(11*second, "b", 6)
 	qt.Assert(t, w.Owner, qt.Equals, "a")
 }
+
+func TestStoreReturns(t *testing.T) {
+	c := qt.New(t)
+	first := tenure.Watcher{}.WithStoreHeard(second)
+	c.Assert(first.StoreReturned(tenure.Watcher{}), qt.IsFalse)
+	next := first.WithStoreHeard(2 * second)
+	c.Assert(next.StoreReturned(first), qt.IsFalse)
+	c.Assert(next.WithStoreHeard(6*second).StoreReturned(next), qt.IsTrue)
+}
