cell: the end of a run that counted as lapsed makes its task done

The end now counts, and a later run is withdrawn. Failures of such runs still don't: an owner can't tell whether one before has counted them.

front: a line tells that the store is back, and for how long it was away.

--- a/cell/report.go
+++ b/cell/report.go
@@ -54,6 +54,7 @@
 	r := w.runs[runKey{e.Task, e.Run}]
 	if r == nil {
 		c.note(Note{What: "end of an unknown run", Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Worker: w.ID, Why: string(e.How)})
+		c.endedUnheard(now, e)
 		return
 	}
 	c.note(Note{What: "run ended", Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Worker: w.ID, Why: string(e.How), Age: now - r.placedAt})
@@ -69,6 +70,23 @@
 	}
 }
 
+// endedUnheard takes the end of a run that counts as lapsed, since its worker was not
+// heard for longer than a lease, also under an earlier owner. If it is done, its task is:
+// the worker is about to forget the end, and the task must not run again after that.
+func (c *Cell) endedUnheard(now time.Duration, e Ended) {
+	s, t := c.find(e.Task)
+	if s == nil || t.done || e.How != EndedDone || e.Run > t.run {
+		return
+	}
+	c.done(now, s, t)
+	for _, each := range s.tasks {
+		if each.done {
+			c.withdrawAll(now, each.runs, "an earlier run is done")
+		}
+	}
+	c.settle(now, s.job)
+}
+
 // count draws the conclusion from the end of a run for its task.
 func (c *Cell) count(now time.Duration, w *worker, s *step, t *taskRecord, e Ended, r *run) {
 	if e.Checkpoint != "" {
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -106,6 +106,7 @@
 	returned := h.watcher.StoreReturned(earlier)
 	h.mu.Unlock()
 	if returned {
+		h.log.WithField("away_ms", (now - earlier.StoreHeard).Milliseconds()).Info("front: the store is back")
 		h.followAgain()
 	}
 	if !changed {
