--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -39,7 +39,7 @@
 func (c *Cell) overdue(now time.Duration, w *worker) {
 	for _, r := range w.sortedRuns() {
 		switch {
-		case c.lapsed(now, w, r) && (w.granted > 0 || w.gone):
+		case c.lapsed(now, w, r):
 			c.note(Note{What: "run lapsed", Job: r.id.Job, Task: r.id.String(), Run: r.number, Worker: w.ID, Why: "the lease has ended", Age: now - w.granted})
 			c.apply(r, "Lapsed")
 			c.closeRun(now, w, r)
@@ -55,6 +55,9 @@
 // lapsed reports whether nothing that was granted can still let a run go on. The order
 // for one that is placed may be about to be sent, with a grant of its own.
 func (c *Cell) lapsed(now time.Duration, w *worker, r *run) bool {
+	if w.granted == 0 && !w.gone {
+		return false
+	}
 	granted := w.granted
 	if r.state == placed {
 		granted = max(granted, r.placedAt)
