--- a/server/server_test.go
+++ b/server/server_test.go
@@ -82,13 +82,19 @@
 	}
 }
 
-func TestCallUnderWayIsAnswered(t *testing.T) {
-	c := qt.New(t)
-	s, address := started(c, 300*time.Millisecond)
+// calling returns a connection with a call under way.
+func calling(c *qt.C, address string) net.Conn {
 	conn := connected(c, address)
 	_, err := io.WriteString(conn, call)
 	c.Assert(err, qt.IsNil)
 	time.Sleep(50 * time.Millisecond)
+	return conn
+}
+
+func TestCallUnderWayIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	s, address := started(c, 300*time.Millisecond)
+	conn := calling(c, address)
 	c.Assert(s.Finish(context.Background()), qt.IsNil)
 	c.Assert(answer(c, conn), qt.Equals, "done")
 }
@@ -107,10 +113,7 @@
 func TestEndOfTheContext(t *testing.T) {
 	c := qt.New(t)
 	s, address := started(c, 2*time.Second)
-	conn := connected(c, address)
-	_, err := io.WriteString(conn, call)
-	c.Assert(err, qt.IsNil)
-	time.Sleep(50 * time.Millisecond)
+	calling(c, address)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	c.Assert(s.Finish(ctx), qt.ErrorIs, context.DeadlineExceeded)
