scheduler: attending uses the limiter of x/time, events are taken in one loop

The bucket of attending was written again beside rate.Limiter, which six packages use; advance and handle each had a loop over the events that wait; attend looked each new worker up twice; two tests compared records in the same loop. Bounds and checks are the same.

--- a/scheduler/attending.go
+++ b/scheduler/attending.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 const (
 	// attendAtOnce is how many workers an owner begins to attend to at once. The first
@@ -15,22 +19,28 @@
 )
 
 // attending limits how fast an owner begins to attend to workers, so that the owner of
-// a large cell is not replaced while it begins. The zero value is ready.
+// a large cell is not replaced while it begins. Use newAttending to make one.
 type attending struct {
-	// used is the number of workers that count against attendAtOnce as of last.
-	used float64
+	begins *rate.Limiter
+	// last is when an owner last looked for workers that are new.
 	last time.Duration
 }
 
+func newAttending() attending {
+	return attending{begins: rate.NewLimiter(attendRate, attendAtOnce)}
+}
+
 // allow returns how many workers an owner may begin with now.
 func (a *attending) allow(now time.Duration) int {
 	if a.last != 0 && now-a.last < attendInterval {
 		return 0
 	}
-	a.used = max(0, a.used-attendRate*(now-a.last).Seconds())
 	a.last = now
-	return int(attendAtOnce - a.used)
+	return int(a.begins.TokensAt(a.at()))
 }
 
-// took notes that an owner has begun with some workers.
-func (a *attending) took(workers int) { a.used += float64(workers) }
+// took notes that an owner has begun with some of the workers that were allowed.
+func (a *attending) took(workers int) { a.begins.ReserveN(a.at(), workers) }
+
+// at is the time of the last look, on the clock of the limiter.
+func (a *attending) at() time.Time { return time.Unix(0, int64(a.last)) }
--- a/scheduler/attending_test.go
+++ b/scheduler/attending_test.go
@@ -22,14 +22,14 @@
 
 // The owner of a cell as the users have them begins with all workers at once.
 func TestSmallCellIsAttendedToAtOnce(t *testing.T) {
-	var a scheduler.Attending
+	a := scheduler.NewAttending()
 	qt.Assert(t, begin(&a, time.Hour, 10*time.Millisecond, 350), qt.Equals, 350)
 }
 
 // The owner of 3,000 workers has time left to renew its lease while it begins.
 func TestLargeCellIsAttendedToStepByStep(t *testing.T) {
 	c := qt.New(t)
-	var a scheduler.Attending
+	a := scheduler.NewAttending()
 	c.Assert(begin(&a, time.Hour, time.Second, 3000) <= 720, qt.IsTrue)
 	c.Assert(begin(&a, time.Hour+time.Second, 20*time.Second, 2280), qt.Equals, 2280)
 }
@@ -37,7 +37,7 @@
 // Workers that come later are attended to at once again.
 func TestNewWorkersAfterARest(t *testing.T) {
 	c := qt.New(t)
-	var a scheduler.Attending
+	a := scheduler.NewAttending()
 	c.Assert(begin(&a, time.Hour, time.Second, 600), qt.Equals, 600)
 	c.Assert(begin(&a, time.Hour+2*time.Second, 10*time.Millisecond, 120), qt.Equals, 120)
 }
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -54,6 +54,9 @@
 // Attending is attending.
 type Attending = attending
 
+// NewAttending is newAttending.
+func NewAttending() Attending { return newAttending() }
+
 // Allow is allow.
 func (a *attending) Allow(now time.Duration) int { return a.allow(now) }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -111,7 +111,7 @@
 func New(options Options, l *ledger.Ledger, store ledger.Store, workers Workers, machines Machines, members Members, count *Counters, log *logrus.Entry) *Owner {
 	return &Owner{
 		options: options, ledger: l, store: store, workers: workers, machines: machines, members: members, log: log, count: count,
-		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{},
+		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{}, attending: newAttending(),
 		records: newRecords(options.Cell),
 		waves:   waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](statusRing)},
 		fresh:   map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}), fenced: make(chan struct{}),
@@ -235,24 +235,21 @@
 // ring before they are sent: with one that is not taken yet a lease would seem to have
 // ended that goes on.
 func (o *Owner) advance() {
-	for range eventRing {
-		select {
-		case e := <-o.events.Values():
-			e(clock.Now())
-			continue
-		default:
-		}
-		break
-	}
+	o.takeWaiting(eventRing)
 	o.cell.Tick(clock.Now(), time.Now().UnixMilli())
 }
 
-// handle takes an event and those that wait behind it, each at its own time: a report
-// counts against what was answered before it was asked for, and some of that may come
-// while the batch is taken.
+// handle takes an event and those that wait behind it.
 func (o *Owner) handle(e event) {
 	e(clock.Now())
-	for range eventBatch {
+	o.takeWaiting(eventBatch)
+}
+
+// takeWaiting takes the events that wait, up to a number, each at its own time: a report
+// counts against what was answered before it was asked for, and some of that may come
+// while the others are taken.
+func (o *Owner) takeWaiting(most int) {
+	for range most {
 		select {
 		case e := <-o.events.Values():
 			e(clock.Now())
--- a/scheduler/record_test.go
+++ b/scheduler/record_test.go
@@ -55,6 +55,15 @@
 	return r
 }
 
+// checkTasks checks that the first jobs are known, each with a number of tasks.
+func checkTasks(c *qt.C, r *scheduler.Records, jobs, tasks int) {
+	for i := range jobs {
+		p, ok := r.Progress(fmt.Sprintf("%016x", i))
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(p.Steps[0].Tasks, qt.HasLen, tasks)
+	}
+}
+
 // A slow store must take what gathers in one transaction of 100 rows.
 func TestManyChangesTakeFewRows(t *testing.T) {
 	c := qt.New(t)
@@ -63,12 +72,7 @@
 		r.Add(0, change(fmt.Sprintf("%016x", i), workload.Running, 6, false))
 	}
 	c.Assert(store.apply(c, r) <= 40, qt.IsTrue)
-	next := store.read(c)
-	for i := range 300 {
-		p, ok := next.Progress(fmt.Sprintf("%016x", i))
-		c.Assert(ok, qt.IsTrue)
-		c.Assert(p.Steps[0].Tasks, qt.HasLen, 6)
-	}
+	checkTasks(c, store.read(c), 300, 6)
 }
 
 // A row holds 64 KiB: a bucket that outgrows it has several pages, and gives them back.
@@ -89,12 +93,7 @@
 	}
 	store.apply(c, next)
 	c.Assert(len(store) < pages, qt.IsTrue)
-	last := store.read(c)
-	for i := range 64 {
-		p, ok := last.Progress(fmt.Sprintf("%016x", i))
-		c.Assert(ok, qt.IsTrue)
-		c.Assert(p.Steps[0].Tasks, qt.HasLen, 1)
-	}
+	checkTasks(c, store.read(c), 64, 1)
 }
 
 // A job that is final stays in the progress until its runs have ended, so that the next
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -86,19 +86,18 @@
 		return
 	}
 	known := map[string]bool{}
-	var fresh []string
+	var fresh []workload.Worker
 	for _, id := range o.cell.WorkerIDs() {
 		known[id] = true
 		if w, ok := o.cell.Worker(id); ok && o.duties[id] == nil && w.Address != "" {
-			fresh = append(fresh, id)
+			fresh = append(fresh, w)
 		}
 	}
 	// Those with runs go first: their leases are to go on.
-	slices.SortStableFunc(fresh, func(a, b string) int { return cmp.Compare(o.cell.Runs(b), o.cell.Runs(a)) })
+	slices.SortStableFunc(fresh, func(a, b workload.Worker) int { return cmp.Compare(o.cell.Runs(b.ID), o.cell.Runs(a.ID)) })
 	fresh = fresh[:min(len(fresh), allowed)]
-	for _, id := range fresh {
-		w, _ := o.cell.Worker(id)
-		o.duties[id] = o.newDuty(ctx, w)
+	for _, w := range fresh {
+		o.duties[w.ID] = o.newDuty(ctx, w)
 	}
 	o.attending.took(len(fresh))
 	for id, d := range o.duties {
