tenure, front: large hosts take the cell first, small ones give it back

Cause: the owner was drawn from a hash of its name. Ruled out: weighing hosts by memory or link; processor time is what binds.

--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -90,6 +90,11 @@
 
 // deploy starts hosts and workers of 8 processors whose tasks take 2 for a while.
 func deploy(t *testing.T, hosts, workers int, length time.Duration) *deployment {
+	return deployUnequal(t, make([]float64, hosts), workers, length)
+}
+
+// deployUnequal is deploy for hosts with shares of processor time.
+func deployUnequal(t *testing.T, shares []float64, workers int, length time.Duration) *deployment {
 	networks.Lock()
 	networks.n++
 	net1, net2 := 10+os.Getpid()%200, networks.n
@@ -109,13 +114,13 @@
 	for i := range workers {
 		d.addWorker(i, length)
 	}
-	for i := range hosts {
+	for i, share := range shares {
 		h := &hostProcess{name: fmt.Sprintf("h%d", i), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+1)}
 		h.settings = filepath.Join(t.TempDir(), "settings.json")
 		content, err := json.Marshal(map[string]any{
 			"node": h.name, "zone": "z", "region": "r", "ip": h.ip, "port_range": []int{peerPort, peerPort + 15},
 			"listen":    map[string]string{"front": fmt.Sprintf("%s:%d", h.ip, callerPort), "ready": fmt.Sprintf("%s:%d", h.ip, readyPort)},
-			"limits":    map[string]any{"memory_mb": 284},
+			"limits":    map[string]any{"memory_mb": 284, "cpu_share": share},
 			"platform":  map[string]any{"addr": strings.TrimPrefix(store.URL, "http://"), "form": "table", "row_bytes": 65536},
 			"advice":    strings.TrimPrefix(advisor.URL, "http://"),
 			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120, "maintenance_s": 0.4, "lease_ms": turnPause.Milliseconds()},
--- a/front/host.go
+++ b/front/host.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	h.subscribe(ctx)
-	for _, duty := range []func(context.Context){h.enter, h.watchMembers, h.watchCatalogue, h.watchLease, h.candidate, h.advise, h.advise, h.announce} {
+	for _, duty := range []func(context.Context){h.enter, h.watchMembers, h.watchCatalogue, h.watchLease, h.candidate, h.makeWay, h.advise, h.advise, h.announce} {
 		h.duties.Add(1)
 		go func() {
 			defer h.duties.Done()
--- a/front/member.go
+++ b/front/member.go
@@ -28,6 +28,8 @@
 	Zone        string `cbor:"2,keyasint"`
 	Region      string `cbor:"3,keyasint"`
 	Incarnation string `cbor:"4,keyasint"`
+	// Processors is the host's share of processor time, in cores; 0 is not known.
+	Processors float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // members knows the entry hosts by their rows.
@@ -53,6 +55,17 @@
 	return slices.Sorted(maps.Keys(m.known))
 }
 
+// processors returns the share of processor time of each member.
+func (m *members) processors() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	shares := make(map[string]float64, len(m.known))
+	for name, k := range m.known {
+		shares[name] = k.Processors
+	}
+	return shares
+}
+
 func (m *members) list(rows []ledger.Row) {
 	known := map[string]member{}
 	for _, r := range rows {
@@ -87,7 +100,9 @@
 // enter writes the row of this host until the store has it.
 func (h *Host) enter(ctx context.Context) {
 	s := h.settings()
-	value, err := codec.Marshal(member{Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Region: s.Region, Incarnation: h.incarnation})
+	value, err := codec.Marshal(member{
+		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Region: s.Region, Incarnation: h.incarnation, Processors: s.Processors,
+	})
 	if err != nil {
 		h.log.WithError(err).Error("front: row of this host")
 		return
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,9 +35,12 @@
 	// nearBound is the longest call to a store in the same region: 4 ms for the
 	// answer and a few for the way. Between regions it takes 44 ms.
 	nearBound = 25 * time.Millisecond
-	// nearRanks is the number of ranks among hosts near the store; the others
-	// come after them.
-	nearRanks = 3
+	// makeWayInterval is the pause between two looks for a host that is able to own the
+	// cell in place of this one.
+	makeWayInterval = time.Second
+	// makeWayAfter is the least age of a tenure that is given up so. A hand-over costs
+	// some 0.2 s without starts, and larger hosts may come back one after the other.
+	makeWayAfter = 5 * time.Second
 )
 
 // Tenure tells the members who owns the cell.
@@ -137,16 +138,53 @@
 	return h.link.Up(now, now-h.watcher.StoreHeard < quickStore)
 }
 
+// asCandidate describes this host among those that may take the cell, and returns the
+// largest share of processor time of all hosts that are known.
+func (h *Host) asCandidate() (c tenure.Candidate, largest float64) {
+	s := h.settings()
+	h.mu.Lock()
+	near := h.near
+	h.mu.Unlock()
+	for _, processors := range h.members.processors() {
+		largest = max(largest, processors)
+	}
+	return tenure.Candidate{Host: s.Host, Processors: s.Processors, Near: near}, max(largest, s.Processors)
+}
+
 // rank is the place of this host among the candidates for a tenure.
-func (h *Host) rank(fence int64, near bool) int {
-	hash := fnv.New32a()
-	// A hash never fails to take bytes.
-	_, _ = hash.Write([]byte(h.settings().Host + "/" + strconv.FormatInt(fence, 10)))
-	rank := int(hash.Sum32() % nearRanks)
-	if !near {
-		rank += nearRanks
+func (h *Host) rank(fence int64) int {
+	c, largest := h.asCandidate()
+	return c.Rank(fence, largest)
+}
+
+// makeWay gives the cell up once a host can be reached that is able to own it, if this
+// one is not.
+func (h *Host) makeWay(ctx context.Context) {
+	for timer.Sleep(ctx, makeWayInterval) {
+		o := h.owned()
+		if o == nil || clock.Now()-o.Begun() < makeWayAfter || o.Stalled() {
+			continue
+		}
+		c, largest := h.asCandidate()
+		if c.Able(largest) {
+			continue
+		}
+		if better, ok := h.ableMember(largest); ok {
+			h.log.WithFields(logrus.Fields{"to": better, "processors": c.Processors, "largest": largest}).Info("front: giving the cell to a larger host")
+			o.Resign()
+		}
+	}
+}
+
+// ableMember returns a member that can be reached and is able to own the cell.
+func (h *Host) ableMember(largest float64) (string, bool) {
+	for name, processors := range h.members.processors() {
+		c := tenure.Candidate{Host: name, Processors: processors}
+		if c.Able(largest) && h.hub.Reachable(name) && h.hub.Heard(name) {
+			return name, true
+		}
 	}
-	return rank
+	return "", false
 }
 
 // candidate takes the cell when its owner is gone.
@@ -155,9 +193,9 @@
 		now := clock.Now()
 		linked := h.linked(now)
 		h.mu.Lock()
-		watcher, own, near := h.watcher, h.owner != nil, h.near
+		watcher, own := h.watcher, h.owner != nil
 		h.mu.Unlock()
-		if own || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence, near), linked, watcher.Owner == h.settings().Host) {
+		if own || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence), linked, watcher.Owner == h.settings().Host) {
 			continue
 		}
 		if _, ok := h.desk.Catalogue(); !ok {
--- /dev/null
+++ b/front/unequal_test.go
@@ -0,0 +1,25 @@
+package front_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// All large hosts are lost: a small one takes the cell, and gives it back once a large
+// one has returned.
+func TestCellFollowsTheLargeHosts(t *testing.T) {
+	d := deployUnequal(t, []float64{0.192, 0.8, 0.192}, 2, 200*time.Millisecond)
+	large := d.hosts[1]
+	d.await("the large host owns the cell", func() bool { return d.owner() == large })
+	d.submit(d.hosts[0], "plain", 0, 2)
+	large.kill()
+	d.await("a small host owns the cell", func() bool { o := d.owner(); return o != nil && o != large })
+	d.submit(d.hosts[0], "plain", 1, 2)
+	d.start(large)
+	d.await("the large host owns the cell again", func() bool { return d.owner() == large })
+	d.submit(d.hosts[2], "plain", 2, 2)
+	d.awaitDone(d.hosts[0], "plain", 0, 3)
+	qt.Assert(t, d.floor.Starts(), qt.Equals, 6)
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -97,6 +97,8 @@
 	// fenced is closed once a worker obeys a later owner.
 	fenced     chan struct{}
 	fencedOnce sync.Once
+	// begun is when the tenure began.
+	begun time.Duration
 	// resigned tells that nothing may be started any more.
 	resigned bool
 	pruned   time.Duration
@@ -114,13 +116,16 @@
 		events: ring.New[event](eventRing), cell: cell.New(options.Bound), duties: map[string]*workerDuty{}, attending: newAttending(),
 		records: newRecords(options.Cell),
 		waves:   waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](statusRing)},
-		fresh:   map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), resigning: make(chan struct{}), fenced: make(chan struct{}),
+		fresh:   map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, committed: make(chan error, 1), begun: clock.Now(), resigning: make(chan struct{}), fenced: make(chan struct{}),
 	}
 }
 
 // Fence returns the fencing token of the owner.
 func (o *Owner) Fence() int64 { return o.ledger.Fence() }
 
+// Begun returns when the tenure began.
+func (o *Owner) Begun() time.Duration { return o.begun }
+
 // post hands an event to the decision duty, or drops it if it is behind by too
 // much.
 func (o *Owner) post(e event) bool {
