--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -115,6 +115,9 @@
 	return true
 }
 
+// Stale reports whether something has changed since room was last given to what waits.
+func (c *Cell) Stale() bool { return c.stale }
+
 // Schedule gives room to what waits, if something has changed.
 func (c *Cell) Schedule(now time.Duration) {
 	if !c.stale {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 // Records is records for tests of this package.
@@ -83,3 +84,12 @@
 
 // Advance is advance.
 func (o *Owner) Advance() { o.advance() }
+
+// Never is never.
+const Never = never
+
+// Schedule is schedule.
+func (o *Owner) Schedule(now time.Duration) time.Duration { return o.schedule(now) }
+
+// Change changes what may be placed.
+func (o *Owner) Change() { o.cell.SetCatalogue(workload.Catalogue{}) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,11 @@
 	eventBatch = 256
 	// tickInterval is the pause between two looks at what is due.
 	tickInterval = 100 * time.Millisecond
+	// schedulePause is the least time between two looks at what waits. A start waits for
+	// its record, and records are at least commitPause apart.
+	schedulePause = 20 * time.Millisecond
+	// never is a wait for something that is not due.
+	never = time.Duration(math.MaxInt64)
 )
 
 // Options say for which cell and under which bounds an owner decides.
@@ -97,6 +103,8 @@
 	// fenced is closed once a worker obeys a later owner.
 	fenced     chan struct{}
 	fencedOnce sync.Once
+	// scheduled is when room was last given to what waits.
+	scheduled time.Duration
 	// begun is when the tenure began.
 	begun time.Duration
 	// resigned tells that nothing may be started any more.
@@ -227,13 +235,31 @@
 		if c := o.catalogue.Swap(nil); c != nil {
 			o.cell.SetCatalogue(*c)
 		}
-		o.cell.SetRecordDelay(o.recordDelay(now))
-		o.cell.Schedule(now)
+		next := o.schedule(now)
 		o.dispatch(ctx)
 		if wait, ok := o.commitDue(ctx); ok {
-			pace.Reset(wait)
+			next = min(next, wait)
 		}
+		if next < never {
+			pace.Reset(next)
+		}
+	}
+}
+
+// schedule gives room to what waits, if something has changed since and the last time is
+// long enough ago. It returns how long to wait for that. Each look goes through all that
+// waits, and in a busy large cell an event comes each half millisecond.
+func (o *Owner) schedule(now time.Duration) time.Duration {
+	if !o.cell.Stale() {
+		return never
+	}
+	if wait := o.scheduled + schedulePause - now; wait > 0 {
+		return wait
 	}
+	o.scheduled = now
+	o.cell.SetRecordDelay(o.recordDelay(now))
+	o.cell.Schedule(now)
+	return never
 }
 
 // advance lets time pass in the cell, after all that happened before. Grants are in the
--- a/scheduler/owner_test.go
+++ b/scheduler/owner_test.go
@@ -48,3 +48,29 @@
 	o.Advance()
 	c.Assert(taken, qt.Equals, waiting)
 }
+
+// A busy large cell: an event comes each half millisecond, and each may let something be
+// placed. What waits is gone through once in a while, and the last event is not forgotten.
+func TestLooksAtWhatWaitsAreApart(t *testing.T) {
+	c := qt.New(t)
+	o := scheduler.New(scheduler.Options{}, nil, nil, nil, nil, nil, nil, nil)
+	looks := 0
+	now := time.Second
+	for range 2000 {
+		o.Change()
+		if wait := o.Schedule(now); wait == scheduler.Never {
+			looks++
+		}
+		now += 500 * time.Microsecond
+	}
+	c.Assert(looks <= 51, qt.IsTrue, qt.Commentf("%d looks in a second", looks))
+	now += time.Second
+	o.Change()
+	c.Assert(o.Schedule(now), qt.Equals, scheduler.Never)
+	o.Change()
+	wait := o.Schedule(now + time.Millisecond)
+	c.Assert(wait, qt.Equals, 19*time.Millisecond)
+	now += time.Millisecond
+	c.Assert(o.Schedule(now+wait), qt.Equals, scheduler.Never)
+	c.Assert(o.Schedule(now+wait), qt.Equals, scheduler.Never, qt.Commentf("nothing has changed since"))
+}
