carrier: hosts in the zones of the workers speak with these for the owner

Cause: an owner of 370 workers makes 1,600 calls a second over HTTP. A small host can't. Ruled out: carriers that keep the leases by themselves; a permission of their own would put off the end of a lost worker's lease by seconds.

--- a/front/host.go
+++ b/front/host.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/carrier"
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
@@ -46,13 +47,17 @@
 	orders      *platform.Orders
 	advisor     atomic.Pointer[platform.Advisor]
 	machines    atomic.Pointer[platform.Machines]
-	hub         *peer.Hub
-	members     members
-	desk        *intake.Desk
-	questions   *ring.Ring[asked]
-	answers     answers
-	count       scheduler.Counters
-	takeovers   atomic.Int64
+	// relay lets carriers speak with the workers of a cell that this host owns, carrier
+	// does so for other owners.
+	relay     *carrier.Relay
+	carrier   *carrier.Carrier
+	hub       *peer.Hub
+	members   members
+	desk      *intake.Desk
+	questions *ring.Ring[asked]
+	answers   answers
+	count     scheduler.Counters
+	takeovers atomic.Int64
 	// leaving tells that the host is about to stop.
 	leaving atomic.Bool
 	duties  sync.WaitGroup
@@ -92,6 +97,8 @@
 	h.members = members{known: map[string]member{}, changed: h.connect}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
 	h.hub.Connected = h.passOn
+	h.relay = carrier.NewRelay(h.orders, h, log)
+	h.carrier = carrier.NewCarrier(h.orders, h.fence, h.answerCalls)
 	h.desk = intake.NewDesk(h, log)
 	return h
 }
--- a/front/link.go
+++ b/front/link.go
@@ -7,6 +7,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/carrier"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/peer"
@@ -17,11 +18,13 @@
 // subscribe begins a duty for each kind of message.
 func (h *Host) subscribe(ctx context.Context) {
 	for kind, handle := range map[peer.Kind]message.NoPublishHandlerFunc{
-		peer.KindJobCall:   peer.Handle(h.called),
-		peer.KindJobAnswer: peer.Handle(func(_ string, a intake.Answer) { h.desk.Answered(a) }),
-		peer.KindQuestion:  peer.Handle(h.questioned),
-		peer.KindAdvice:    peer.Handle(h.advised),
-		peer.KindTenure:    peer.Handle(h.told),
+		peer.KindJobCall:       peer.Handle(h.called),
+		peer.KindJobAnswer:     peer.Handle(func(_ string, a intake.Answer) { h.desk.Answered(a) }),
+		peer.KindQuestion:      peer.Handle(h.questioned),
+		peer.KindAdvice:        peer.Handle(h.advised),
+		peer.KindTenure:        peer.Handle(h.told),
+		peer.KindWorkerCalls:   peer.Handle(func(from string, c carrier.Calls) { h.carrier.Take(ctx, from, c) }),
+		peer.KindWorkerAnswers: peer.Handle(h.relay.Answered),
 	} {
 		messages, err := h.hub.Subscribe(ctx, string(kind))
 		if err != nil {
@@ -76,6 +79,28 @@
 	_ = h.hub.Send(host, peer.KindJobAnswer, a)
 }
 
+// Peers implements carrier.Peers.
+func (h *Host) Peers() []carrier.Peer {
+	var peers []carrier.Peer
+	for name, m := range h.members.all() {
+		if name != h.settings().Host && h.hub.Reachable(name) && h.hub.Heard(name) {
+			peers = append(peers, carrier.Peer{Host: name, Zone: m.Zone, Processors: m.Processors})
+		}
+	}
+	return peers
+}
+
+// SendCalls implements carrier.Peers.
+func (h *Host) SendCalls(host string, c carrier.Calls) bool {
+	return h.hub.Send(host, peer.KindWorkerCalls, c) == nil
+}
+
+// answerCalls passes the answers of workers back to an owner.
+func (h *Host) answerCalls(owner string, a carrier.Answers) {
+	// The owner counts a lost answer as none.
+	_ = h.hub.Send(owner, peer.KindWorkerAnswers, a)
+}
+
 // Askers implements scheduler.Members.
 func (h *Host) Askers() []string {
 	var names []string
--- a/front/member.go
+++ b/front/member.go
@@ -55,15 +55,11 @@
 	return slices.Sorted(maps.Keys(m.known))
 }
 
-// processors returns the share of processor time of each member.
-func (m *members) processors() map[string]float64 {
+// all returns the rows of all members.
+func (m *members) all() map[string]member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	shares := make(map[string]float64, len(m.known))
-	for name, k := range m.known {
-		shares[name] = k.Processors
-	}
-	return shares
+	return maps.Clone(m.known)
 }
 
 func (m *members) list(rows []ledger.Row) {
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -145,8 +145,8 @@
 	h.mu.Lock()
 	near := h.near
 	h.mu.Unlock()
-	for _, processors := range h.members.processors() {
-		largest = max(largest, processors)
+	for _, m := range h.members.all() {
+		largest = max(largest, m.Processors)
 	}
 	return tenure.Candidate{Host: s.Host, Processors: s.Processors, Near: near}, max(largest, s.Processors)
 }
@@ -178,10 +178,9 @@
 
 // ableMember returns a member that can be reached and is able to own the cell.
 func (h *Host) ableMember(largest float64) (string, bool) {
-	for name, processors := range h.members.processors() {
-		c := tenure.Candidate{Host: name, Processors: processors}
-		if c.Able(largest) && h.hub.Reachable(name) && h.hub.Heard(name) {
-			return name, true
+	for _, p := range h.Peers() {
+		if (tenure.Candidate{Host: p.Host, Processors: p.Processors}).Able(largest) {
+			return p.Host, true
 		}
 	}
 	return "", false
@@ -223,7 +222,7 @@
 	o := scheduler.New(scheduler.Options{
 		Cell: cellName, Bound: bounds(s), StatusKept: s.StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
 		Holder: s.Host, UpkeepTime: s.UpkeepTime, TurnPause: s.TurnPause,
-	}, l, h.store, h.orders, h.machines.Load(), h, &h.count, h.log)
+	}, l, h.store, h.relay, h.machines.Load(), h, &h.count, h.log)
 	h.mu.Lock()
 	h.owner = o
 	for _, w := range h.waves {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -26,6 +26,7 @@
 	KindOwnership, KindConfiguration, KindApplied, KindDigestWanted,
 	KindEpochs, KindEpochsKnown, KindSummary,
 	KindJobCall, KindJobAnswer, KindQuestion, KindAdvice, KindTenure,
+	KindWorkerCalls, KindWorkerAnswers,
 }
 
 // codeOf returns the code of a kind, or 0 if there is none.
--- a/peer/message.go
+++ b/peer/message.go
@@ -48,6 +48,10 @@
 	// behalf of the owner; KindAdvice is what it was told.
 	KindQuestion Kind = "Question"
 	KindAdvice   Kind = "Advice"
+	// KindWorkerCalls is a carrier.Calls to a member that makes them on behalf of the
+	// owner, and KindWorkerAnswers the carrier.Answers to it.
+	KindWorkerCalls   Kind = "WorkerCalls"
+	KindWorkerAnswers Kind = "WorkerAnswers"
 	// KindTenure tells all members who owns the cell.
 	KindTenure Kind = "Tenure"
 )
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -43,9 +43,9 @@
 	switch k {
 	case KindOwnership, KindConfiguration, KindApplied, KindEpochs, KindEpochsKnown, KindTenure:
 		return control
-	case KindAnswer, KindReport, KindJobAnswer, KindAdvice:
+	case KindAnswer, KindReport, KindJobAnswer, KindAdvice, KindWorkerAnswers:
 		return answers
-	case KindCall, KindCommand, KindJobCall, KindQuestion:
+	case KindCall, KindCommand, KindJobCall, KindQuestion, KindWorkerCalls:
 		return requests
 	default:
 		return latest
--- a/scheduler/port.go
+++ b/scheduler/port.go
@@ -12,6 +12,8 @@
 
 // Workers sends orders to workers.
 type Workers interface {
+	// SetFleet takes the workers of the cell, each time that there are others.
+	SetFleet(workers []workload.Worker)
 	Start(ctx context.Context, s platform.Start) cell.Answer
 	Stop(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64) cell.Answer
 	Pace(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64, percent int) cell.Answer
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -86,13 +86,19 @@
 		return
 	}
 	known := map[string]bool{}
-	var fresh []workload.Worker
+	var fleet, fresh []workload.Worker
 	for _, id := range o.cell.WorkerIDs() {
 		known[id] = true
-		if w, ok := o.cell.Worker(id); ok && o.duties[id] == nil && w.Address != "" {
+		w, ok := o.cell.Worker(id)
+		if !ok || w.Address == "" {
+			continue
+		}
+		fleet = append(fleet, w)
+		if o.duties[id] == nil {
 			fresh = append(fresh, w)
 		}
 	}
+	o.workers.SetFleet(fleet)
 	// Those with runs go first: their leases are to go on.
 	slices.SortStableFunc(fresh, func(a, b workload.Worker) int { return cmp.Compare(o.cell.Runs(b.ID), o.cell.Runs(a.ID)) })
 	fresh = fresh[:min(len(fresh), allowed)]
