tenure: hosts that see an owner go at the same moment take turns

Cause: ranks only moved the age of a lease at which a host takes the cell. Ruled out: longer ranks, which would put off each takeover.

--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -33,6 +33,19 @@
 	// StoreHeard is when the store last answered, StoreBack since when it answers
 	// without a pause.
 	StoreHeard, StoreBack time.Duration
+	// linked and ready are those of the last WithReach, reachChanged is when either was
+	// last another.
+	linked, ready bool
+	reachChanged  time.Duration
+}
+
+// WithReach returns the watcher after a look at whether this host has a connection to the
+// owner, and whether it is ready to own the cell itself.
+func (w Watcher) WithReach(now time.Duration, linked, ready bool) Watcher {
+	if linked != w.linked || ready != w.ready {
+		w.linked, w.ready, w.reachChanged = linked, ready, now
+	}
+	return w
 }
 
 // WithLease returns the watcher after a lease was seen.
@@ -73,10 +86,15 @@
 	case own:
 		return true
 	case w.Owner == "":
-		return age >= delay
+		return age >= delay && w.turn(now, delay)
 	case !linked:
-		return age >= staleUnlinked+delay
+		return age >= staleUnlinked+delay && w.turn(now, delay)
 	default:
 		return age >= staleBound+delay
 	}
 }
+
+// turn reports whether a host has waited for its place since it saw cause to take the
+// cell. All hosts may see it at the same moment, when a lease is old already: as they get
+// their first configuration, or miss the third announcement of an owner.
+func (w Watcher) turn(now, delay time.Duration) bool { return now-w.reachChanged >= delay }
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -83,3 +83,23 @@
 	c.Assert(next.StoreReturned(first), qt.IsFalse)
 	c.Assert(next.WithStoreHeard(6*second).StoreReturned(next), qt.IsTrue)
 }
+
+// All hosts miss the third announcement of an owner at the same moment, when its lease is
+// older than the bound already: they take their turns from then on.
+func TestHostsThatSeeAnOwnerGoAtOnceTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	w := watch(10*second, 11500*ms).WithReach(10*second, true, true).WithReach(11500*ms, false, true)
+	c.Assert(w.ShouldTake(11500*ms, 0, false, false), qt.IsTrue)
+	c.Assert(w.ShouldTake(11500*ms, 2, false, false), qt.IsFalse)
+	c.Assert(w.WithReach(11600*ms, false, true).ShouldTake(11740*ms, 2, false, false), qt.IsTrue)
+}
+
+// A start from nothing: all hosts get their first configuration at the same moment, long
+// after the store answered.
+func TestHostsThatStartAtOnceTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	w := tenure.Watcher{}.WithReach(second, true, false).WithStoreHeard(second).WithStoreHeard(2*second).WithReach(2*second, true, true)
+	c.Assert(w.ShouldTake(2*second, 0, true, false), qt.IsTrue)
+	c.Assert(w.ShouldTake(2*second, 3, true, false), qt.IsFalse)
+	c.Assert(w.ShouldTake(2400*ms, 3, true, false), qt.IsTrue)
+}
