scheduler, front: an owner that is behind refuses new jobs and gives the cell up

Cause: an owner without processor time took calls that it could not serve, held them to their deadline, and stayed owner as its announcements still came. A call that waited over 0.5 s for the decision duty is refused if it is a new job; after two looks in a row the cell goes to another host. A call for which the ring has no room gets no reply any more: it was refused even where it repeated a job that ran.

--- a/front/host.go
+++ b/front/host.go
@@ -58,6 +58,8 @@
 	answers   answers
 	count     scheduler.Counters
 	takeovers atomic.Int64
+	// abstain is until when this host comes after all others as an owner.
+	abstain atomic.Int64
 	// leaving tells that the host is about to stop.
 	leaving atomic.Bool
 	duties  sync.WaitGroup
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -41,6 +41,15 @@
 	// makeWayAfter is the least age of a tenure that is given up so. A hand-over costs
 	// some 0.2 s without starts, and larger hosts may come back one after the other.
 	makeWayAfter = 5 * time.Second
+	// behindBound is how long calls may wait at an owner that has enough processor time,
+	// behindLooks at how many looks in a row they must have waited longer for it to give
+	// the cell up: a burst passes.
+	behindBound = 500 * time.Millisecond
+	behindLooks = 2
+	// abstainTime is how long an owner that was behind comes after all others, by
+	// abstainRanks. Machines are slowed for some 7 s.
+	abstainTime  = 10 * time.Second
+	abstainRanks = 12
 )
 
 // Tenure tells the members who owns the cell.
@@ -154,25 +163,44 @@
 // rank is the place of this host among the candidates for a tenure.
 func (h *Host) rank(fence int64) int {
 	c, largest := h.asCandidate()
-	return c.Rank(fence, largest)
+	rank := c.Rank(fence, largest)
+	if clock.Now() < time.Duration(h.abstain.Load()) {
+		rank += abstainRanks
+	}
+	return rank
 }
 
 // makeWay gives the cell up once a host can be reached that is able to own it, if this
-// one is not.
+// one is not: it is small, or has too little processor time for the present load.
 func (h *Host) makeWay(ctx context.Context) {
+	looksBehind := 0
 	for timer.Sleep(ctx, makeWayInterval) {
 		o := h.owned()
-		if o == nil || clock.Now()-o.Begun() < makeWayAfter || o.Stalled() {
+		if o == nil {
+			looksBehind = 0
+			continue
+		}
+		if o.Behind() > behindBound {
+			looksBehind++
+		} else {
+			looksBehind = 0
+		}
+		if clock.Now()-o.Begun() < makeWayAfter || o.Stalled() {
 			continue
 		}
 		c, largest := h.asCandidate()
-		if c.Able(largest) {
+		if c.Able(largest) && looksBehind < behindLooks {
 			continue
 		}
-		if better, ok := h.ableMember(largest); ok {
-			h.log.WithFields(logrus.Fields{"to": better, "processors": c.Processors, "largest": largest}).Info("front: giving the cell to a larger host")
-			o.Resign()
+		better, ok := h.ableMember(largest)
+		if !ok {
+			continue
+		}
+		h.log.WithFields(logrus.Fields{"to": better, "processors": c.Processors, "largest": largest, "looks_behind": looksBehind}).Info("front: giving the cell to another host")
+		if looksBehind >= behindLooks {
+			h.abstain.Store(int64(clock.Now() + abstainTime))
 		}
+		o.Resign()
 	}
 }
 
@@ -191,13 +219,12 @@
 	for timer.Sleep(ctx, candidateInterval) {
 		now := clock.Now()
 		linked := h.linked(now)
+		_, ready := h.desk.Catalogue()
 		h.mu.Lock()
+		h.watcher = h.watcher.WithReach(now, linked, ready)
 		watcher, own := h.watcher, h.owner != nil
 		h.mu.Unlock()
-		if own || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence), linked, watcher.Owner == h.settings().Host) {
-			continue
-		}
-		if _, ok := h.desk.Catalogue(); !ok {
+		if own || !ready || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence), linked, watcher.Owner == h.settings().Host) {
 			continue
 		}
 		h.log.WithFields(logrus.Fields{
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -7,12 +7,22 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// take answers a call, at once or when its effect is recorded.
-func (o *Owner) take(now time.Duration, from string, c intake.Call) {
+const (
+	// behindBound is how long a call may wait for the decision duty until new jobs are
+	// refused: half of the shortest time in which the users want one done.
+	behindBound = 500 * time.Millisecond
+	// behindRetry is when callers that were refused then may come back.
+	behindRetry = 2 * time.Second
+)
+
+// take answers a call that has waited for some time, at once or when its effect is
+// recorded.
+func (o *Owner) take(now, waited time.Duration, from string, c intake.Call) {
+	o.behind.Store(max(o.behind.Load(), int64(waited)))
 	reply := func(r intake.Reply) { o.members.Reply(from, intake.Answer{Number: c.Number, Reply: r}) }
 	switch c.Verb {
 	case intake.Submit:
-		o.submit(now, c, reply)
+		o.submit(now, waited, c, reply)
 	case intake.State:
 		reply(o.state(c.ID))
 	case intake.Cancel:
@@ -24,13 +34,18 @@
 
 // submit accepts a job once it is recorded. A repeat of one whose record is durable is
 // answered at once, also while the store is away.
-func (o *Owner) submit(now time.Duration, c intake.Call, reply func(intake.Reply)) {
+func (o *Owner) submit(now, waited time.Duration, c intake.Call, reply func(intake.Reply)) {
 	if _, known := o.records.finished.get(c.ID); !known {
 		if _, known := o.cell.State(c.ID); !known {
 			if o.stalled(now) {
 				o.refuse(now, reply)
 				return
 			}
+			if waited > behindBound {
+				o.count.Refused.Add(1)
+				reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: behindRetry, Why: "the owner is behind"})
+				return
+			}
 			job := c.Job
 			job.Accepted = time.Now().UnixMilli()
 			o.cell.Submit(now, job)
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -93,3 +94,6 @@
 
 // Change changes what may be placed.
 func (o *Owner) Change() { o.cell.SetCatalogue(workload.Catalogue{}) }
+
+// Take is take.
+func (o *Owner) Take(now, waited time.Duration, c intake.Call) { o.take(now, waited, "h", c) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -105,6 +105,8 @@
 	fencedOnce sync.Once
 	// scheduled is when room was last given to what waits.
 	scheduled time.Duration
+	// behind is the longest that a call has waited since it was last asked for.
+	behind atomic.Int64
 	// begun is when the tenure began.
 	begun time.Duration
 	// resigned tells that nothing may be started any more.
@@ -131,6 +133,10 @@
 // Fence returns the fencing token of the owner.
 func (o *Owner) Fence() int64 { return o.ledger.Fence() }
 
+// Behind returns for how long a call has waited at most since the last time that it was
+// asked.
+func (o *Owner) Behind() time.Duration { return time.Duration(o.behind.Swap(0)) }
+
 // Begun returns when the tenure began.
 func (o *Owner) Begun() time.Duration { return o.begun }
 
@@ -155,11 +161,12 @@
 // decision.
 func (o *Owner) SetCatalogue(c workload.Catalogue) { o.catalogue.Store(&c) }
 
-// Call takes the call of a host.
+// Call takes the call of a host. One for which there is no room is dropped without a
+// reply: it may repeat an earlier call that has had an effect, so that to say that it had
+// none could be wrong. Its host sends it again.
 func (o *Owner) Call(from string, c intake.Call) {
-	if !o.post(func(now time.Duration) { o.take(now, from, c) }) {
-		o.members.Reply(from, intake.Answer{Number: c.Number, Reply: intake.Reply{Outcome: intake.Overloaded, RetryAfter: stallRetry, Why: "too many events wait"}})
-	}
+	posted := clock.Now()
+	o.post(func(now time.Duration) { o.take(now, now-posted, from, c) })
 }
 
 // Advised takes the answer of the advice service through a host.
