cell, advice: a backlog costs a bounded time, and gangs of a large cell keep their room

A burst and a takeover left 900 jobs; each look went through 1,500 steps, each turn of the loop sorted 1,400 questions, and those that could earn nothing any more were asked first, as the oldest. Now 160 steps are looked at in the order of service and 40 of the others in turn, late steps ask only while fewer than 64 wait for an answer, questions are dealt out when one came or was answered, and hopeless ones go last. A queue is found by a map. Cause 2: two gangs kept room in a cell of 370 workers as in one of 48. Cause 3: a question named 100 workers for two tasks.

--- a/advice/desk.go
+++ b/advice/desk.go
@@ -75,6 +75,19 @@
 // Depth returns how many questions wait.
 func (d *Desk) Depth() int { return len(d.waiting) }
 
+// urgency orders questions: those whose job can be in time come first, then those whose
+// job can still earn something.
+func urgency(now time.Duration, q cell.Question) int {
+	switch {
+	case now <= q.Due:
+		return 0
+	case now <= q.Hopeless:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // Assign gives the questions that wait to hosts that are free, the most pressing
 // first. Hosts must be sorted, so that the same ones take the long questions.
 func (d *Desk) Assign(now time.Duration, hosts []string) []Assignment {
@@ -82,7 +95,9 @@
 		d.asked = map[string][]asked{}
 	}
 	d.expire(now)
-	slices.SortStableFunc(d.waiting, func(a, b cell.Question) int { return cmp.Compare(a.Due, b.Due) })
+	slices.SortStableFunc(d.waiting, func(a, b cell.Question) int {
+		return cmp.Or(cmp.Compare(urgency(now, a), urgency(now, b)), cmp.Compare(a.Due, b.Due))
+	})
 	var assigned []Assignment
 	var rest []cell.Question
 	for _, q := range d.waiting {
--- a/advice/desk_test.go
+++ b/advice/desk_test.go
@@ -65,3 +65,25 @@
 	d.Answered(0, "a", question(1, ms))
 	qt.Assert(t, d.Depth(), qt.Equals, 0)
 }
+
+// A backlog of steps that can earn nothing any more waits behind those that can: it would
+// keep the service from everybody that comes later.
+func TestHopelessQuestionsWaitForTheOthers(t *testing.T) {
+	c := qt.New(t)
+	var d advice.Desk
+	old := cell.Question{Step: workload.StepID{Job: "hopeless"}, Expected: 20 * ms, Due: ms, Hopeless: 5 * ms}
+	late := cell.Question{Step: workload.StepID{Job: "late"}, Expected: 20 * ms, Due: 2 * ms, Hopeless: time.Second}
+	fresh := cell.Question{Step: workload.StepID{Job: "fresh"}, Expected: 20 * ms, Due: time.Second, Hopeless: 2 * time.Second}
+	d.Add(old)
+	d.Add(late)
+	d.Add(fresh)
+	var order []string
+	for _, a := range d.Assign(100*ms, hosts[3:]) {
+		order = append(order, a.Question.Step.Job)
+		d.Answered(100*ms, a.Host, a.Question)
+	}
+	for _, a := range d.Assign(100*ms, hosts[3:]) {
+		order = append(order, a.Question.Step.Job)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"fresh", "late", "hopeless"})
+}
--- a/cell/action.go
+++ b/cell/action.go
@@ -35,8 +35,9 @@
 	Expected time.Duration
 	// Valid is how long the tickets of the answer hold.
 	Valid time.Duration
-	// Due is when the step should start at the latest.
-	Due time.Duration
+	// Due is when the step should start at the latest, Hopeless when it is too late for
+	// its job to earn anything.
+	Due, Hopeless time.Duration
 }
 
 // Look asks for a report of a worker at once.
--- /dev/null
+++ b/cell/backlog_test.go
@@ -0,0 +1,74 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// backlog returns a cell that is full, and in which a number of jobs wait.
+func backlog(jobs int) *world {
+	w := newWorld(20)
+	w.submit(job(id(0), "Plain", 100, nil))
+	for n := 1; n <= jobs; n++ {
+		w.Submit(w.now, job(id(n), "Plain", 2, nil))
+	}
+	w.decide()
+	return w
+}
+
+// An outage leaves a backlog of jobs. To give room to what waits costs no more for it than
+// a bounded number of looks, so that the owner is not kept from what comes meanwhile.
+func TestBacklogCostsABoundedNumberOfLooks(t *testing.T) {
+	looks := func(jobs int) float64 {
+		w := backlog(jobs)
+		return testing.AllocsPerRun(20, func() {
+			w.now++
+			w.Cancel(w.now, id(0))
+			w.SetCatalogue(catalogue())
+			w.Schedule(w.now)
+		})
+	}
+	small, large := looks(400), looks(4000)
+	qt.Assert(t, large <= 1.5*small, qt.IsTrue, qt.Commentf("%.0f allocations with 400 jobs, %.0f with 4,000", small, large))
+}
+
+// A backlog of jobs that can't be placed stands before one that could run: it comes to its
+// turn within a second.
+func TestWhatCanRunComesToItsTurnBehindABacklog(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	for n := 1; n <= 1000; n++ {
+		w.Submit(w.now, job(id(n), "Plain", 1, func(s *workload.Step) { s.Size.Processors = 1000 * task.Processor }))
+	}
+	w.Submit(w.now, job(id(2000), "Plain", 1, func(s *workload.Step) { s.Estimate = 30 * second }))
+	began := w.now
+	for w.states[id(2000)] != workload.Running {
+		w.now += 20 * ms
+		w.SetCatalogue(catalogue())
+		w.decide()
+		c.Assert(w.now-began <= second, qt.IsTrue)
+	}
+}
+
+// A backlog of late jobs asks for advice no faster than the service answers: a job that
+// comes now finds hosts that are free to ask for it.
+func TestLateJobsDoNotAskAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(100)
+	for n := 1; n <= 1000; n++ {
+		w.Submit(w.now, job(id(n), "Advised", 1, nil))
+	}
+	w.now += 6 * second
+	w.reportAll()
+	w.decide()
+	late := len(w.questions)
+	c.Assert(late <= 64, qt.IsTrue, qt.Commentf("%d questions", late))
+	w.Submit(w.now, job(id(2000), "Advised", 1, nil))
+	w.decide()
+	c.Assert(w.questions, qt.HasLen, late+1)
+	c.Assert(w.questions[late].Step.Job, qt.Equals, id(2000))
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -24,6 +24,8 @@
 type Cell struct {
 	options   Options
 	catalogue workload.Catalogue
+	// queues holds those of the catalogue by name.
+	queues map[string]workload.Queue
 	// jobs holds all jobs that are not final, and those with runs that have not
 	// ended: these take room, which the next owner must know.
 	jobs    map[string]*job
@@ -32,6 +34,8 @@
 	order []*worker
 	// lookedAt counts the workers that questions were chosen from.
 	lookedAt int
+	// turn is the place of the step that was last looked at in turn.
+	turn int
 	// changed holds the jobs whose record is out of date, in the order of change.
 	changed []*job
 	actions Actions
@@ -43,11 +47,12 @@
 	// recordDelay is how long it takes to record a start.
 	recordDelay time.Duration
 	speeds      speeds
+	goodShares  goodShares
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, goodShares: goodShares{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force.
@@ -55,7 +60,7 @@
 	if catalogue.Version < c.catalogue.Version {
 		return
 	}
-	c.catalogue = catalogue
+	c.catalogue, c.queues = catalogue, catalogue.ByName()
 	c.stale = true
 }
 
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -8,9 +8,16 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// maxGangsHeld is how many gangs at once may keep free room from others that come
-// after them.
-const maxGangsHeld = 2
+const (
+	// minGangsHeld is how many gangs at once may keep free room from others that come
+	// after them at least, and workersPerGangHeld the part of the workers for which one
+	// more may: gangs have ten tasks, of which a worker takes three.
+	minGangsHeld       = 2
+	workersPerGangHeld = 24
+)
+
+// maxGangsHeld is how many gangs at once may keep free room from others.
+func (c *Cell) maxGangsHeld() int { return max(minGangsHeld, len(c.order)/workersPerGangHeld) }
 
 // bookingRest is how long room stays booked after the tickets have come.
 const bookingRest = 200 * time.Millisecond
@@ -82,12 +89,12 @@
 	}
 	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) })
 	if len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
-		c.ask(now, s, queue, append(unasked, good...))
+		c.ask(now, s, queue, append(c.enough(now, s, queue, unasked, c.goodShares.of(queue.Name)), good...))
 	}
 }
 
-// spareFor returns the workers of a plan, and others with room for a task, so that
-// a worker that fails meanwhile does not cost another question.
+// spareFor returns the workers of a plan, and half as many others with room for a task, so
+// that a worker that fails meanwhile does not cost another question.
 func spareFor(s *step, plan, good []*worker, held map[string]task.Size) []*worker {
 	var named []*worker
 	for _, w := range plan {
@@ -95,9 +102,14 @@
 			named = append(named, w)
 		}
 	}
+	spare := len(named)/2 + 1
 	for _, w := range good {
+		if spare == 0 {
+			break
+		}
 		if !slices.Contains(named, w) && s.Room().Fits(w.free().Minus(held[w.ID])) {
 			named = append(named, w)
+			spare--
 		}
 	}
 	return named
--- a/cell/place.go
+++ b/cell/place.go
@@ -91,10 +91,12 @@
 // askMore asks for new tickets of good workers, or else about workers that were
 // never named and have room.
 func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
+	share := 1.0
 	if len(good) == 0 {
 		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) || !s.Room().Fits(w.free()) })
+		share = c.goodShares.of(queue.Name)
 	}
-	c.ask(now, s, queue, good)
+	c.ask(now, s, queue, c.enough(now, s, queue, good, share))
 }
 
 // best returns the worker on which a task of the step leaves least room, of those
--- a/cell/report.go
+++ b/cell/report.go
@@ -148,7 +148,7 @@
 		}
 	}
 	c.change(s.job)
-	queue, known := c.catalogue.Queue(s.job.Queue)
+	queue, known := c.queues[s.job.Queue]
 	if s.Daemon || !known || t.failures < queue.Attempts {
 		return
 	}
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -17,6 +17,18 @@
 // each step.
 const objectiveWorkers = 30
 
+const (
+	// firstLooks is how many steps are looked at each time room is given to what waits,
+	// in the order of service, and turnLooks how many of the others. A look at one takes
+	// some 20 µs, and there are 50 such times in a second.
+	firstLooks = 160
+	turnLooks  = 40
+	// maxLateAsking is how many steps may wait for advice while one that is late asks
+	// too: some more than the hosts of a large deployment ask at once. Those that come
+	// meanwhile would find the service busy.
+	maxLateAsking = 64
+)
+
 // Tick does what is due at a time: occurrences, stops to send again, leases that
 // have ended, and then gives room to what waits. wall is the time since 1970 in
 // milliseconds.
@@ -128,26 +140,57 @@
 	gangsHeld := 0
 	steps := c.waiting(now)
 	c.book(now, steps, held)
-	for _, r := range steps {
+	asking := countAsking(now, steps)
+	for _, r := range c.inTurn(steps) {
 		s, queue := r.step, r.queue
 		if !r.routed {
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.known() {
-			c.askFirst(now, s, queue)
+			if !s.tickets.waitsForAnswer(now) && (r.standing == inTime || asking < maxLateAsking) {
+				asking++
+				c.askFirst(now, s, queue)
+			}
 			continue
 		}
 		if !s.Gang {
 			c.placeTasks(now, s, queue, held)
 			continue
 		}
-		if !c.placeGang(now, s, queue, held) && gangsHeld < maxGangsHeld {
+		if !c.placeGang(now, s, queue, held) && gangsHeld < c.maxGangsHeld() {
 			gangsHeld++
 			c.holdRoom(now, s, queue, held)
 		}
 	}
 }
 
+// inTurn returns the steps that are looked at this time: the first in the order of service,
+// and some of the others, each time the next. A backlog costs no more than this, and all
+// of it comes to its turn.
+func (c *Cell) inTurn(steps []ranked) []ranked {
+	if len(steps) <= firstLooks+turnLooks {
+		return steps
+	}
+	turn := slices.Clone(steps[:firstLooks])
+	rest := steps[firstLooks:]
+	for range turnLooks {
+		c.turn = (c.turn + 1) % len(rest)
+		turn = append(turn, rest[c.turn])
+	}
+	return turn
+}
+
+// countAsking counts the steps that wait for an answer about their workers.
+func countAsking(now time.Duration, steps []ranked) int {
+	n := 0
+	for _, s := range steps {
+		if s.tickets.waitsForAnswer(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // waiting returns the steps with tasks that wait, in the order of service.
 func (c *Cell) waiting(now time.Duration) []ranked {
 	var steps []ranked
@@ -190,11 +233,11 @@
 )
 
 func (c *Cell) rank(now time.Duration, s *step) ranked {
-	queue, routed := c.catalogue.Queue(s.job.Queue)
+	queue, routed := c.queues[s.job.Queue]
 	r := ranked{step: s, queue: queue, routed: routed, start: s.latestStart(queue), work: s.job.work}
-	switch overdue := now - r.start; {
-	case overdue <= 0:
-	case overdue <= (lateFactor-1)*s.job.objective(queue):
+	switch {
+	case now <= r.start:
+	case now <= s.hopelessFrom(queue):
 		r.standing = late
 	default:
 		r.standing = hopeless
@@ -202,6 +245,11 @@
 	return r
 }
 
+// hopelessFrom returns when a step must have started for its job to earn anything.
+func (s *step) hopelessFrom(queue workload.Queue) time.Duration {
+	return s.latestStart(queue) + (lateFactor-1)*s.job.objective(queue)
+}
+
 // compare orders those in time by when they must start. Of those that are late the
 // small ones go first: they earn more for what they take.
 func (r ranked) compare(other ranked) int {
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -18,6 +18,23 @@
 	questionTimeout = 2500 * time.Millisecond
 	// maxNamed is the most workers of one question; the service takes 100.
 	maxNamed = 100
+	// namingShare is the part of the time that the service takes for any question which
+	// may go into naming workers, needed or not: some get other work or fail until the
+	// answer comes.
+	namingShare = 0.5
+	// namedRoom is for how many times the tasks that wait the workers of a question
+	// should have room.
+	namedRoom = 3
+	// busyRoom is the part of a worker without room that counts as free by the time of
+	// the answer.
+	busyRoom = 4
+	// roomSteps is how finely workers are told apart by their room: all questions would
+	// name the same few otherwise.
+	roomSteps = 4
+	// firstGoodShare is the part of the workers that may run a step, as long as a queue
+	// has no answers; goodWeight is the weight of the past in what they tell.
+	firstGoodShare = 0.3
+	goodWeight     = 20
 	// maxLookedAt is how many workers are compared for a question: enough to leave
 	// out three of four that are full.
 	maxLookedAt = 4 * maxNamed
@@ -70,37 +87,93 @@
 	return t.pending != 0 && now < t.pending+t.patience
 }
 
-// askFirst asks about all workers that could ever run a step, those with most room
-// first.
+// goodShares holds the part of the workers that may run a step, by queue. The zero value
+// knows nothing.
+type goodShares map[string]float64
+
+// of returns the part of the workers that may run a step of a queue.
+func (g goodShares) of(queue string) float64 {
+	if share, ok := g[queue]; ok {
+		return share
+	}
+	return firstGoodShare
+}
+
+// learn takes an answer about workers that were not known before.
+func (g goodShares) learn(queue string, good, named int) {
+	if named == 0 {
+		return
+	}
+	known := g.of(queue)
+	g[queue] = known + (float64(good)/float64(named)-known)/goodWeight
+}
+
+// askFirst asks about workers that could ever run a step, those with most room first.
 func (c *Cell) askFirst(now time.Duration, s *step, queue workload.Queue) {
 	if !s.tickets.waitsForAnswer(now) {
-		c.ask(now, s, queue, c.unasked(s, queue))
+		c.ask(now, s, queue, c.enough(now, s, queue, c.unasked(s, queue), c.goodShares.of(queue.Name)))
+	}
+}
+
+// enough returns the first workers of a list that will likely have room for the tasks of
+// a step that wait, if the given part of them may run it. A question takes the service
+// longer the more workers it names, and all of a host's questions wait for one another.
+func (c *Cell) enough(now time.Duration, s *step, queue workload.Queue, list []*worker, goodShare float64) []*worker {
+	cheap := queue.Advice.Workers(time.Duration(namingShare * float64(queue.Advice.Decide)))
+	wanted := 0
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			wanted += namedRoom
+		}
+	}
+	room := 0.0
+	for i, w := range list {
+		if i >= cheap && room >= float64(wanted) {
+			return list[:i]
+		}
+		room += goodShare * s.likelyRoom(w)
 	}
+	return list
+}
+
+// likelyRoom returns for how many tasks of a step a worker will likely have room soon.
+func (s *step) likelyRoom(w *worker) float64 {
+	room := max(float64(s.Room().CountIn(w.free())), float64(s.Room().CountIn(w.Capacity))/busyRoom)
+	if s.MaxPerWorker > 0 {
+		room = min(room, float64(s.MaxPerWorker))
+	}
+	return room
 }
 
 // unasked lists workers that no question about a step has named yet, those with most
-// room first. Of a large cell it looks at a part, each time at another one, so that a
-// question costs no more than in a small cell.
+// room first. Of a large cell it looks at a part, so that a question costs no more than in
+// a small cell. Each question begins at another worker, so that steps that wait for their
+// answers at the same time don't all count on the same room.
 func (c *Cell) unasked(s *step, queue workload.Queue) []*worker {
-	first := 0
-	if len(c.order) > maxLookedAt {
-		first = c.lookedAt % len(c.order)
+	if len(c.order) == 0 {
+		return nil
 	}
+	first := c.lookedAt % len(c.order)
+	c.lookedAt += maxNamed
 	var list []*worker
 	for i := range c.order {
 		if len(list) == maxLookedAt {
 			break
 		}
-		c.lookedAt++
 		w := c.order[(first+i)%len(c.order)]
 		if w.announced() && serves(s, queue, w) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
 			list = append(list, w)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(b.free().Processors, a.free().Processors) })
+	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(b.roomStep(), a.roomStep()) })
 	return list
 }
 
+// roomStep is the part of a worker that is free, in roomSteps.
+func (w *worker) roomStep() int64 {
+	return roomSteps * w.free().Processors / max(1, w.Capacity.Processors)
+}
+
 // ask hands out a question about a step unless one is under way.
 func (c *Cell) ask(now time.Duration, s *step, queue workload.Queue, about []*worker) {
 	if len(about) == 0 || s.tickets.waitsForAnswer(now) {
@@ -113,7 +186,7 @@
 	expected := queue.Advice.Duration(len(names))
 	s.tickets.pending, s.tickets.patience = now, expected+questionTimeout
 	c.actions.Questions = append(c.actions.Questions, Question{
-		Step: s.id, Workers: names, Expected: expected, Valid: queue.Advice.Valid, Due: s.latestStart(queue),
+		Step: s.id, Workers: names, Expected: expected, Valid: queue.Advice.Valid, Due: s.latestStart(queue), Hopeless: s.hopelessFrom(queue),
 	})
 }
 
@@ -138,9 +211,18 @@
 	if t.good == nil {
 		t.good, t.asked = map[string]ticket{}, map[string]bool{}
 	}
+	fresh, good := 0, 0
 	for _, id := range q.Workers {
+		if t.asked[id] {
+			continue
+		}
 		t.asked[id] = true
+		fresh++
+		if _, ok := answered[id]; ok {
+			good++
+		}
 	}
+	c.goodShares.learn(s.job.Queue, good, fresh)
 	for id, value := range answered {
 		if w := c.workers[id]; w != nil {
 			t.good[id] = ticket{value: value, until: received + q.Valid, life: w.Life}
--- a/cell/tickets_test.go
+++ b/cell/tickets_test.go
@@ -84,3 +84,59 @@
 	qt.Assert(t, w.workers["w0"].running, qt.HasLen, 5)
 	qt.Assert(t, w.workers["w0"].running[0].Task.Job, qt.Equals, id(2))
 }
+
+// An idle cell of hundreds of workers: a question names as many as a small step needs, as
+// each more takes the service longer.
+func TestQuestionsNameWhatAStepNeeds(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(300)
+	w.Submit(w.now, job(id(1), "Advised", 2, nil))
+	w.decide()
+	c.Assert(w.questions, qt.HasLen, 1)
+	c.Assert(len(w.questions[0].Workers) <= 36, qt.IsTrue, qt.Commentf("%d workers for 2 tasks", len(w.questions[0].Workers)))
+	w.questions = nil
+	w.Submit(w.now, job(id(2), "Advised", 100, nil))
+	w.decide()
+	c.Assert(w.questions, qt.HasLen, 1)
+	c.Assert(w.questions[0].Workers, qt.HasLen, 100)
+}
+
+// Few of the workers may run a step of a queue: later questions name more.
+func TestQuestionsLearnHowManyWorkersAreGood(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(300)
+	named := func(n int) int {
+		w.questions = nil
+		w.Submit(w.now, job(id(n), "Advised", 10, nil))
+		w.decide()
+		c.Assert(w.questions, qt.HasLen, 1)
+		return len(w.questions[0].Workers)
+	}
+	first := named(0)
+	for n := 1; n < 40; n++ {
+		w.Advised(w.now, w.now, w.questions[0], map[string]string{})
+		w.Cancel(w.now, id(n-1))
+		w.decide()
+		named(n)
+	}
+	c.Assert(len(w.questions[0].Workers) >= 2*first, qt.IsTrue, qt.Commentf("%d and then %d workers", first, len(w.questions[0].Workers)))
+}
+
+// A gang renews its tickets: the question names its plan and some spare workers, not all
+// that are good.
+func TestRenewedTicketsAreForThePlan(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(100)
+	w.submit(job(id(1), "Plain", 500, nil))
+	w.submit(job(id(2), "Advised", 10, func(s *workload.Step) { s.Gang = true }))
+	for len(w.questions) > 0 {
+		w.advise(all)
+	}
+	w.pass(3 * second)
+	for _, f := range w.workers {
+		f.endAll("Done")
+	}
+	w.reportAll()
+	c.Assert(w.questions, qt.HasLen, 1)
+	c.Assert(len(w.questions[0].Workers) <= 20, qt.IsTrue, qt.Commentf("%d workers for a gang of 10", len(w.questions[0].Workers)))
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -68,6 +68,8 @@
 	events *ring.Ring[event]
 	cell   *cell.Cell
 	desk   advice.Desk
+	// askDue tells that a question may find a host since the last time.
+	askDue bool
 	duties map[string]*workerDuty
 	// attending limits how fast duties begin.
 	attending attending
@@ -177,6 +179,7 @@
 	received := clock.Now() - a.Age
 	o.post(func(now time.Duration) {
 		o.desk.Answered(now, from, a.Question)
+		o.askDue = true
 		if a.Failed != "" {
 			o.log.WithFields(logrus.Fields{"step": a.Question.Step.String(), "host": from, "why": a.Failed}).Warn("scheduler: advice failed")
 		}
@@ -226,6 +229,7 @@
 		case e := <-o.events.Values():
 			o.handle(e)
 		case <-tick.C:
+			o.askDue = true
 			o.advance()
 			o.abandonFresh(clock.Now())
 			o.takeWaves(clock.Now())
@@ -325,6 +329,7 @@
 	}
 	for _, q := range actions.Questions {
 		o.desk.Add(q)
+		o.askDue = true
 	}
 	o.ask()
 	o.attend(ctx)
@@ -332,9 +337,10 @@
 
 // ask passes questions on to hosts that are free.
 func (o *Owner) ask() {
-	if o.desk.Depth() == 0 {
+	if !o.askDue || o.desk.Depth() == 0 {
 		return
 	}
+	o.askDue = false
 	now := clock.Now()
 	for _, a := range o.desk.Assign(now, o.members.Askers()) {
 		if !o.members.Ask(a.Host, Question{Fence: o.Fence(), Question: a.Question}) {
--- a/task/size.go
+++ b/task/size.go
@@ -1,6 +1,9 @@
 package task
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Units of the fields of Size.
 const (
@@ -70,6 +73,22 @@
 		s.Connections <= free.Connections
 }
 
+// CountIn returns how many times s fits free, 0 for a size that takes nothing.
+func (s Size) CountIn(free Size) int64 {
+	count := int64(math.MaxInt64)
+	for _, pair := range [...][2]int64{
+		{s.Processors, free.Processors}, {s.Memory, free.Memory}, {s.Accelerators, free.Accelerators}, {s.Slots, free.Slots}, {s.Connections, free.Connections},
+	} {
+		if pair[0] > 0 {
+			count = min(count, max(0, pair[1])/pair[0])
+		}
+	}
+	if count == math.MaxInt64 {
+		return 0
+	}
+	return count
+}
+
 // IsZero reports whether s is nothing of everything.
 func (s Size) IsZero() bool { return s == Size{} }
 
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -47,6 +48,15 @@
 // Duration returns how long a question about a number of workers takes.
 func (a Advice) Duration(workers int) time.Duration { return a.Decide + time.Duration(workers)*a.Each }
 
+// Workers returns how many workers a question can name in a time beside that which it
+// takes at least.
+func (a Advice) Workers(extra time.Duration) int {
+	if a.Each <= 0 {
+		return math.MaxInt
+	}
+	return int(extra / a.Each)
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
@@ -68,12 +78,11 @@
 	return best, found
 }
 
-// Queue returns the queue with a name.
-func (c Catalogue) Queue(name string) (Queue, bool) {
+// ByName returns the queues by their names. A catalogue may have some thousands.
+func (c Catalogue) ByName() map[string]Queue {
+	queues := make(map[string]Queue, len(c.Queues))
 	for _, q := range c.Queues {
-		if q.Name == name {
-			return q, true
-		}
+		queues[q.Name] = q
 	}
-	return Queue{}, false
+	return queues
 }
