scheduler, ledger: an owner whose records take several transactions is not stalled

Cause: an owner said that the store does not serve it once all that it records took over 0.9 s. Ruled out: processor time (commit_ms 176 before, 40 after the store was quick again). New jobs are refused as before.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -96,6 +97,8 @@
 	renewal int64
 	// renewed is when the lease was last written.
 	renewed time.Duration
+	// committed is when the store last confirmed a transaction, in nanoseconds.
+	committed atomic.Int64
 	// patience is how long the store may take for the next transaction.
 	patience patience
 }
@@ -122,6 +125,10 @@
 	return l, errors.Annotatef(l.commit(ctx, owner, nil), "taking cell %s", cell)
 }
 
+// Committed returns when the store last confirmed a transaction of this owner. It is safe
+// for concurrent use.
+func (l *Ledger) Committed() time.Duration { return time.Duration(l.committed.Load()) }
+
 // Fence returns the fencing token of this owner; it is higher than any earlier
 // one's.
 func (l *Ledger) Fence() int64 { return l.fence }
@@ -177,7 +184,7 @@
 	for {
 		version, err := l.try(ctx, t, number)
 		if err == nil {
-			l.version = version
+			l.confirmed(version)
 			return nil
 		}
 		var conflict *ConflictError
@@ -203,10 +210,16 @@
 	if !ok {
 		return ErrLost
 	}
-	l.version = version
+	l.confirmed(version)
 	return nil
 }
 
+// confirmed notes a transaction that took effect, by the version of the head row.
+func (l *Ledger) confirmed(version Version) {
+	l.version = version
+	l.committed.Store(int64(clock.Now()))
+}
+
 // written returns the version of the head row if a transaction has written it.
 func written(rows []Row, number string) (Version, bool, error) {
 	h, version, err := headOf(rows)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -157,3 +157,28 @@
 	qt.Assert(t, f.value("149"), qt.Equals, "v")
 	take(t, f, "b", "somebody")
 }
+
+// A slow store takes several transactions for what has gathered. Each shows that the store
+// records for this owner, before all of them have ended.
+func TestEachTransactionOfABatchShowsThatTheStoreRecords(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	l, err := ledger.Take(context.Background(), store, "cell", "a", "1", "")
+	c.Assert(err, qt.IsNil)
+	var seen []time.Duration
+	store.lose = func() (lost, carriedOut bool) {
+		seen = append(seen, l.Committed())
+		time.Sleep(2 * time.Millisecond)
+		return false, false
+	}
+	var changes []ledger.Change
+	for n := range 250 {
+		changes = append(changes, ledger.Change{Writes: []ledger.Row{{Table: "job", Part: "cell", Key: fmt.Sprint(n)}}})
+	}
+	c.Assert(l.Append(context.Background(), changes), qt.IsNil)
+	c.Assert(seen, qt.HasLen, 3)
+	c.Assert(seen[0] > 0, qt.IsTrue)
+	c.Assert(seen[1] > seen[0], qt.IsTrue)
+	c.Assert(seen[2] > seen[1], qt.IsTrue)
+	c.Assert(l.Committed() > seen[2], qt.IsTrue)
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -87,9 +87,14 @@
 	return delay
 }
 
-// Stalled reports whether the store takes too long to record.
-func (o *Owner) Stalled() bool { return o.stalled(clock.Now()) }
+// Stalled reports whether the store does not record for this owner. What gathered while
+// the store is slow may take several transactions, each of which shows that it does.
+func (o *Owner) Stalled() bool {
+	now := clock.Now()
+	return o.stalled(now) && now-o.ledger.Committed() > stallBound
+}
 
+// stalled reports whether recording takes too long for new jobs.
 func (o *Owner) stalled(now time.Duration) bool {
 	begun := time.Duration(o.underWay.Load())
 	return begun != 0 && now-begun > stallBound
