cell: jobs in a hurry go to fast workers

Pattern: workers of several kinds, a job that may lose under 2 s, and estimates that are wrong by half. The speed of a worker is learned from its ends against the usual speed of their queue. Ruled out: that they wait for room; 95 of 100 start within 0.4 s.

--- a/cell/job.go
+++ b/cell/job.go
@@ -45,6 +45,9 @@
 	tickets tickets
 	// failedRun is the last run of a gang whose failure was counted.
 	failedRun int
+	// hurries tells that the speed of its workers decides whether the job is in time, as
+	// of the last ranking.
+	hurries bool
 	// booked is the plan of a gang whose tickets are on their way.
 	booked []*worker
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -132,12 +132,19 @@
 	far, cold bool
 	// strikes are failures since the worker's last success.
 	strikes int
+	// speed counts for jobs in a hurry only.
+	speed int
 	// rest is the share of the worker that stays free.
 	rest float64
 }
 
 func rankOf(s *step, w *worker, rest task.Size) placeRank {
+	speed := 0
+	if s.hurries {
+		speed = w.speedStep()
+	}
 	return placeRank{
+		speed:   speed,
 		far:     s.Affinity != "" && w.Rack() != s.Affinity,
 		cold:    w.Cold > coldBound,
 		strikes: w.strikes,
@@ -153,6 +160,8 @@
 		return !r.cold
 	case r.strikes != other.strikes:
 		return r.strikes < other.strikes
+	case r.speed != other.speed:
+		return r.speed > other.speed
 	default:
 		return r.rest < other.rest
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -96,7 +96,7 @@
 	case EndedDone:
 		w.strikes = 0
 		if !s.Gang && !r.restored && e.Run == 1 && r.begun > 0 {
-			c.speeds.learn(s.job.Queue, s.Estimate, now-r.begun)
+			c.speeds.learn(s.job.Queue, w, s.Estimate, now-r.begun)
 		}
 		c.done(now, s, t)
 	case EndedFailed:
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -234,6 +234,7 @@
 
 func (c *Cell) rank(now time.Duration, s *step) ranked {
 	queue, routed := c.queues[s.job.Queue]
+	s.hurries = s.job.hurries(queue)
 	r := ranked{step: s, queue: queue, routed: routed, start: s.latestStart(queue), work: s.job.work}
 	switch {
 	case now <= r.start:
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -1,7 +1,10 @@
 package cell
 
 import (
+	"math"
 	"time"
+
+	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 const (
@@ -16,26 +19,50 @@
 	// slowRest is how long a slow worker gets nothing new; it is looked at again
 	// with each report.
 	slowRest = 1500 * time.Millisecond
-	// speedWeight is the weight of the past in the usual speed of a queue.
-	speedWeight = 20
+	// speedWeight is the weight of the past in the usual speed of a queue, and
+	// workerWeight in that of a worker: estimates are wrong by half, and a busy worker
+	// has two ends in a second.
+	speedWeight  = 20
+	workerWeight = 12
+	// mostOff bounds what one run tells of its worker.
+	mostOff = 3
+	// speedSteps is how finely workers are told apart by their speed. The kinds of the
+	// users differ by a fifth.
+	speedSteps = 5
+	// hurrySlack is the time that a job may lose below which it goes to fast workers.
+	hurrySlack = 2 * time.Second
 )
 
 // speeds holds how fast runs of a queue usually are against their estimates. The
 // zero value knows nothing.
 type speeds map[string]float64
 
-// learn takes a run that has ended as done.
-func (s speeds) learn(queue string, estimate, took time.Duration) {
+// learn takes a run on a worker that has ended as done.
+func (s speeds) learn(queue string, w *worker, estimate, took time.Duration) {
 	if estimate <= 0 || took <= 0 {
 		return
 	}
 	speed := float64(estimate) / float64(took)
 	if known, ok := s[queue]; ok {
+		w.learnSpeed(speed / known)
 		speed = known + (speed-known)/speedWeight
 	}
 	s[queue] = speed
 }
 
+// learnSpeed takes the speed of a run against the usual one of its queue.
+func (w *worker) learnSpeed(relative float64) {
+	relative = min(max(relative, 1.0/mostOff), mostOff)
+	w.faster += (relative - 1 - w.faster) / workerWeight
+}
+
+// speedStep is the speed of a worker in steps, for comparison.
+func (w *worker) speedStep() int { return int(math.Round(speedSteps * (1 + w.faster))) }
+
+// hurries reports whether a job can lose so little time that the speed of its workers
+// decides whether it is in time.
+func (j *job) hurries(queue workload.Queue) bool { return j.objective(queue)-j.chain < hurrySlack }
+
 // checkSpeed lets a worker rest on which runs make far less progress than usual.
 func (c *Cell) checkSpeed(now time.Duration, w *worker) {
 	runs, sum := 0, 0.0
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/workload"
 )
 
 // Some workers become several times slower for a while, and answer all the same.
@@ -80,3 +82,25 @@
 	qt.Assert(t, w.stops, qt.HasLen, 0)
 	qt.Assert(t, w.runningAll(), qt.Equals, 2)
 }
+
+// Workers of several kinds: a job that can lose little time goes to the fast ones, one
+// that has time goes where it leaves least room.
+func TestJobsInAHurryGoToFastWorkers(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3)
+	took := map[string]int{"w0": 625, "w1": 400, "w2": 500}
+	hurry := func(s *workload.Step) { s.Estimate = 500 * ms }
+	for n := range 30 {
+		w.submit(job(id(n), "Plain", 15, hurry))
+		began := w.now
+		for _, name := range []string{"w1", "w2", "w0"} {
+			w.now = began + time.Duration(took[name])*ms
+			w.workers[name].endAll(cell.EndedDone)
+			w.reportAll()
+		}
+	}
+	w.submit(job(id(100), "Plain", 5, hurry))
+	c.Assert(w.workers["w1"].running, qt.HasLen, 5)
+	w.submit(job(id(101), "Plain", 5, hurry))
+	c.Assert(w.workers["w2"].running, qt.HasLen, 5)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -50,6 +50,8 @@
 	shared bool
 	// reserved tells that the worker's machine goes down next.
 	reserved bool
+	// faster is by which part of the usual speed runs are faster here.
+	faster float64
 	// strikes counts failures since the last success; the worker rests until
 	// restUntil.
 	strikes   int
@@ -118,8 +120,8 @@
 		c.note(Note{What: "worker drains", Worker: w.ID})
 	}
 	if w.Life != announced.Life && w.Life != 0 {
-		// The earlier life took its failures with it.
-		w.strikes, w.restUntil = 0, 0
+		// The earlier life took its failures and its kind with it.
+		w.strikes, w.restUntil, w.faster = 0, 0, 0
 	}
 	w.Worker, w.gone = announced, false
 	c.stale = true
