--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -50,7 +50,7 @@
 		}
 		go func() {
 			defer c.leave()
-			c.answer(owner, c.make(ctx, received, batch.Fence, each))
+			c.answer(owner, c.carryOut(ctx, received, batch.Fence, each))
 		}()
 	}
 }
@@ -71,8 +71,8 @@
 	c.underWay--
 }
 
-// make makes one call, unless its owner was replaced or this host was suspended meanwhile.
-func (c *Carrier) make(ctx context.Context, received time.Duration, fence int64, call Call) Answer {
+// carryOut makes one call, unless its owner was replaced or this host was suspended meanwhile.
+func (c *Carrier) carryOut(ctx context.Context, received time.Duration, fence int64, call Call) Answer {
 	if known := c.fence(); known > fence {
 		return Answer{Number: call.Number, Order: cell.Fenced, Why: "the carrier knows of a later owner"}
 	}
--- a/carrier/relay.go
+++ b/carrier/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -56,6 +57,9 @@
 // Relay speaks with workers through carriers, and directly where there is none. Use
 // NewRelay to make one.
 type Relay struct {
+	// Calls counts those that were handed to carriers, Batches the messages that took.
+	Calls, Batches atomic.Int64
+
 	direct Workers
 	peers  Peers
 	log    *logrus.Entry
@@ -235,7 +239,12 @@
 func (r *Relay) send(host string, w *way) {
 	batch := w.batch
 	w.batch = Calls{}
-	if len(batch.Calls) == 0 || r.peers.SendCalls(host, batch) {
+	if len(batch.Calls) == 0 {
+		return
+	}
+	if r.peers.SendCalls(host, batch) {
+		r.Calls.Add(int64(len(batch.Calls)))
+		r.Batches.Add(1)
 		return
 	}
 	for _, c := range batch.Calls {
--- a/carrier/route.go
+++ b/carrier/route.go
@@ -10,10 +10,10 @@
 
 const (
 	// carryFrom is the least number of workers of a cell whose calls are carried. An
-	// owner that speaks with 48 itself takes a tenth of a core.
+	// owner of 48 that makes the calls itself takes a tenth of a core.
 	carryFrom = 100
-	// groupSize is how many workers of a zone one host carries for. They make 220 calls
-	// a second when the cell is busy, which take a small host a third of its time.
+	// groupSize is how many workers of a zone one host carries for. 370 busy workers get
+	// 1,600 calls a second, of which 280 are for such a group.
 	groupSize = 64
 	// ableShare is the part of the processor time of the largest host in reach from
 	// which another one carries as well.
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -19,8 +19,8 @@
 
 const (
 	// firstLooks is how many steps are looked at each time room is given to what waits,
-	// in the order of service, and turnLooks how many of the others. A look at one takes
-	// some 20 µs, and there are 50 such times in a second.
+	// in the order of service, and turnLooks how many of the others: a backlog of 1,000
+	// steps has had its turn within half a second.
 	firstLooks = 160
 	turnLooks  = 40
 	// maxLateAsking is how many steps may wait for advice while one that is late asks
--- /dev/null
+++ b/front/carrier_test.go
@@ -0,0 +1,62 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Two hosts carry the calls to the workers of a large cell. One of them is killed, with
+// orders on their way and holds that wait; then the owner is, and the next one takes over
+// what runs. Each task starts once, as nothing of it was lost.
+func TestCarrierAndOwnerAreKilled(t *testing.T) {
+	const workers, jobs, tasks = 110, 20, 5
+	d := deploy(t, 3, workers, 700*time.Millisecond)
+	owner := d.owner()
+	carrier := d.other(owner)
+	var caller *hostProcess
+	for _, h := range d.hosts {
+		if h != owner && h != carrier {
+			caller = h
+		}
+	}
+	for n := range jobs {
+		if n == jobs/2 {
+			carrier.kill()
+		}
+		d.submit(caller, "plain", n, tasks)
+	}
+	d.awaitDone(caller, "plain", 0, jobs)
+	qt.Assert(t, d.floor.Starts(), qt.Equals, jobs*tasks)
+	qt.Assert(t, owner.metric(t, "carried_calls_total") > 0, qt.IsTrue)
+	for n := jobs; n < 2*jobs; n++ {
+		d.submit(caller, "advised", n, tasks)
+	}
+	owner.kill()
+	d.awaitDone(caller, "advised", jobs, 2*jobs)
+	qt.Assert(t, d.floor.Starts(), qt.Equals, 2*jobs*tasks)
+}
+
+// metric returns one of the figures that a host serves.
+func (h *hostProcess) metric(t *testing.T, name string) int {
+	r, err := http.Get(fmt.Sprintf("http://%s:9464/metrics", h.ip))
+	qt.Assert(t, err, qt.IsNil)
+	defer r.Body.Close()
+	content, err := io.ReadAll(r.Body)
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(content)) {
+		if value, ok := strings.CutPrefix(line, "vanillaquay_"+name+" "); ok {
+			n, err := strconv.Atoi(strings.TrimSpace(value))
+			qt.Assert(t, err, qt.IsNil)
+			return n
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -107,6 +107,8 @@
 	line("starts_total", h.count.Starts.Load())
 	line("stops_total", h.count.Stops.Load())
 	line("looks_total", h.count.Looks.Load())
+	line("carried_calls_total", h.relay.Calls.Load())
+	line("carried_batches_total", h.relay.Batches.Load())
 	line("fenced_total", h.count.Fenced.Load())
 	line("events_dropped_total", h.count.EventsDropped.Load())
 	line("store_calls_total", h.store.Calls.Load())
