carrier, intake: answers to calls of an earlier process are dropped

Cause, found by reading: calls were numbered from 1 in each process. A host that is killed and starts again within a moment could take the owner's answer to a call of its earlier process for one to a new call with the same number: a caller would be told that its job was accepted, which nobody has recorded; and an owner that returns could take a carrier's answer to an earlier order for one to another order. Answers of carriers name the fencing token, calls of callers are numbered from anywhere. Both tests fail without.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -32,25 +32,31 @@
 
 	mu       sync.Mutex
 	underWay int
-	waiting  map[string][]Answer
+	waiting  map[asker][]Answer
+}
+
+// asker is an owner under one fencing token.
+type asker struct {
+	host  string
+	fence int64
 }
 
 // NewCarrier returns a carrier that calls workers and replies to owners.
 func NewCarrier(workers Workers, fence func() int64, reply func(owner string, a Answers)) *Carrier {
-	return &Carrier{workers: workers, fence: fence, reply: reply, waiting: map[string][]Answer{}}
+	return &Carrier{workers: workers, fence: fence, reply: reply, waiting: map[asker][]Answer{}}
 }
 
 // Take makes the calls of a batch, each in a duty of its own, as some wait for seconds.
 func (c *Carrier) Take(ctx context.Context, owner string, batch Calls) {
-	received := clock.Now()
+	received, to := clock.Now(), asker{owner, batch.Fence}
 	for _, each := range batch.Calls {
 		if !c.enter() {
-			c.answer(owner, Answer{Number: each.Number, Order: cell.Unsent, Why: "the carrier has too many calls"})
+			c.answer(to, Answer{Number: each.Number, Order: cell.Unsent, Why: "the carrier has too many calls"})
 			continue
 		}
 		go func() {
 			defer c.leave()
-			c.answer(owner, c.carryOut(ctx, received, batch.Fence, each))
+			c.answer(to, c.carryOut(ctx, received, batch.Fence, each))
 		}()
 	}
 }
@@ -112,19 +118,19 @@
 }
 
 // answer lets an answer wait for others, or sends it with these.
-func (c *Carrier) answer(owner string, a Answer) {
+func (c *Carrier) answer(to asker, a Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting[owner] = append(c.waiting[owner], a)
-	if len(c.waiting[owner]) == 1 {
-		time.AfterFunc(answerPause, func() { c.flush(owner) })
+	c.waiting[to] = append(c.waiting[to], a)
+	if len(c.waiting[to]) == 1 {
+		time.AfterFunc(answerPause, func() { c.flush(to) })
 	}
 }
 
-func (c *Carrier) flush(owner string) {
+func (c *Carrier) flush(to asker) {
 	c.mu.Lock()
-	answers := c.waiting[owner]
-	delete(c.waiting, owner)
+	answers := c.waiting[to]
+	delete(c.waiting, to)
 	c.mu.Unlock()
-	c.reply(owner, Answers{Answers: answers})
+	c.reply(to.host, Answers{Answers: answers, Fence: to.fence})
 }
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -46,9 +46,11 @@
 	Percent                  int
 }
 
-// Answers is a batch of answers.
+// Answers is a batch of answers to calls under a fencing token: a process that owned the
+// cell before on the same host numbered its calls as well.
 type Answers struct {
 	Answers []Answer `cbor:"1,keyasint"`
+	Fence   int64    `cbor:"2,keyasint"`
 }
 
 // Answer is what became of one call.
--- a/carrier/relay.go
+++ b/carrier/relay.go
@@ -79,12 +79,19 @@
 	flush *time.Timer
 	// due is when the batch is sent.
 	due time.Duration
-	// pending holds the calls without an answer; each channel has room for one.
-	pending map[uint64]chan carried
+	// pending holds the calls without an answer.
+	pending map[uint64]pending
 	// heard is when the carrier last answered anything.
 	heard time.Duration
 }
 
+// pending is a call without an answer.
+type pending struct {
+	fence int64
+	// done has room for what becomes of the call.
+	done chan carried
+}
+
 // carried is what became of a call: its answer, errNotCarried or platform.ErrNoAnswer.
 type carried struct {
 	answer Answer
@@ -194,7 +201,7 @@
 	}
 	w := r.ways[host]
 	if w == nil {
-		w = &way{pending: map[uint64]chan carried{}, heard: now}
+		w = &way{pending: map[uint64]pending{}, heard: now}
 		r.ways[host] = w
 	}
 	if len(w.pending) == 0 {
@@ -207,7 +214,7 @@
 	r.number++
 	c.Number = r.number
 	waiting = make(chan carried, 1)
-	w.pending[c.Number] = waiting
+	w.pending[c.Number] = pending{fence: fence, done: waiting}
 	w.batch.Fence = fence
 	w.batch.Calls = append(w.batch.Calls, c)
 	r.schedule(host, w, now, pause)
@@ -255,9 +262,9 @@
 
 // finish hands out what became of a call, unless its caller has gone.
 func (w *way) finish(number uint64, c carried) {
-	if waiting := w.pending[number]; waiting != nil {
+	if p, ok := w.pending[number]; ok {
 		delete(w.pending, number)
-		waiting <- c
+		p.done <- c
 	}
 }
 
@@ -324,6 +331,8 @@
 	}
 	w.heard = clock.Now()
 	for _, answer := range a.Answers {
-		w.finish(answer.Number, carried{answer: answer})
+		if w.pending[answer.Number].fence == a.Fence {
+			w.finish(answer.Number, carried{answer: answer})
+		}
 	}
 }
--- a/carrier/relay_test.go
+++ b/carrier/relay_test.go
@@ -292,3 +292,28 @@
 	c.Assert(w.made("w1"), qt.Equals, 1)
 	c.Assert(w.made("w2"), qt.Equals, 1)
 }
+
+// The owner's process ends while a carrier waits for a worker, and owns the cell again with
+// its calls numbered anew. The answer to the earlier call is none to the later one with the
+// same number.
+func TestAnswerToAnEarlierProcessIsDropped(t *testing.T) {
+	c := qt.New(t)
+	earlier, later := newWorld(1), newWorld(1)
+	replies := make(chan carrier.Answers, 1)
+	waits := carrier.NewCarrier(earlier.far["h0"], func() int64 { return 0 }, func(_ string, a carrier.Answers) { replies <- a })
+	waits.Take(context.Background(), "owner", carrier.Calls{Fence: 1, Calls: []carrier.Call{{Number: 1, Verb: carrier.Start, Worker: "w9"}}})
+	old := <-replies
+	later.setFleet(200)
+	later.far["h0"].answer = cell.NoRoom
+	later.far["h0"].held = make(chan struct{})
+	answers := make(chan cell.Answer, 1)
+	go func() {
+		answers <- later.relay.Start(context.Background(), platform.Start{Worker: "w1", Address: "a", Task: taskID, Run: 1, Fence: 2})
+	}()
+	for later.made("w1") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	later.relay.Answered("h0", old)
+	close(later.far["h0"].held)
+	c.Assert(<-answers, qt.Equals, cell.NoRoom)
+}
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 type Desk struct {
 	sender Sender
 	log    *logrus.Entry
+	// number is that of the last call. It begins anywhere: the owner may still answer calls
+	// of an earlier process of this host.
 	number atomic.Uint64
 
 	mu        sync.Mutex
@@ -53,7 +56,9 @@
 
 // NewDesk returns a desk that sends calls by sender.
 func NewDesk(sender Sender, log *logrus.Entry) *Desk {
-	return &Desk{sender: sender, log: log, pending: map[uint64]*pending{}}
+	d := &Desk{sender: sender, log: log, pending: map[uint64]*pending{}}
+	d.number.Store(rand.Uint64() >> 1)
+	return d
 }
 
 // SetCatalogue puts a version of the operator's queues in force, unless a newer
--- a/intake/desk_test.go
+++ b/intake/desk_test.go
@@ -153,3 +153,20 @@
 	d.Answered(intake.Answer{Number: c.Number, Reply: intake.Reply{Outcome: intake.Unavailable, RetryAfter: time.Second}})
 	qt.Assert(t, (<-replies).Outcome, qt.Equals, intake.Unavailable)
 }
+
+// A host is killed with a call on its way, and starts again. The owner's answer to that call
+// is none to the first call of the new process: its caller would be told that its job was
+// accepted, which nobody has recorded.
+func TestAnswerToAnEarlierProcessIsDropped(t *testing.T) {
+	c := qt.New(t)
+	_, _, _, earlier := handedIn()
+	_, later, replies, call := handedIn()
+	later.Answered(intake.Answer{Number: earlier.Number, Reply: intake.Reply{Outcome: intake.Accepted}})
+	select {
+	case r := <-replies:
+		t.Fatalf("answered %v", r)
+	case <-time.After(50 * time.Millisecond):
+	}
+	later.Answered(intake.Answer{Number: call.Number, Reply: intake.Reply{Outcome: intake.Gone}})
+	c.Assert((<-replies).Outcome, qt.Equals, intake.Gone)
+}
