--- a/carrier/relay_test.go
+++ b/carrier/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillaquay/vanillaquay/carrier"
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -317,3 +318,18 @@
 	close(later.far["h0"].held)
 	c.Assert(<-answers, qt.Equals, cell.NoRoom)
 }
+
+// A carrier is suspended with orders that it has received. When it wakes, their owner has
+// sent others, and may have been replaced: none of them is carried out.
+func TestCarrierThatWasSuspendedCarriesOutNothingOld(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	for _, verb := range []carrier.Verb{carrier.Hold, carrier.Start, carrier.Stop, carrier.Pace} {
+		call := carrier.Call{Number: 1, Verb: verb, Worker: "w1", Task: taskID, Run: 1}
+		now := clock.Now()
+		c.Assert(w.hosts["h0"].CarryOut(context.Background(), now-time.Second, 1, call).Order, qt.Equals, cell.Unsent)
+		c.Assert(w.made("w1"), qt.Equals, 0)
+	}
+	call := carrier.Call{Number: 1, Verb: carrier.Start, Worker: "w1", Task: taskID, Run: 1}
+	c.Assert(w.hosts["h0"].CarryOut(context.Background(), clock.Now(), 1, call).Order, qt.Equals, cell.Accepted)
+}
