scheduler: new jobs get room before the transaction that accepts them

The job came 20 ms after a look at what waits at the most, its acceptance was recorded without its runs, and the store went away before the next transaction. Before looks were paced, a run was placed by the event that brought the job. Ruled out: workers that were not heard yet; the first was heard 3 ms after the job and 20 ms before the transaction ended.

--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -259,12 +259,14 @@
 
 // schedule gives room to what waits, if something has changed since and the last time is
 // long enough ago. It returns how long to wait for that. Each look goes through all that
-// waits, and in a busy large cell an event comes each half millisecond.
+// waits, and in a busy large cell an event comes each half millisecond. New jobs are looked
+// at before the transaction that accepts them, so that it records their runs as well.
 func (o *Owner) schedule(now time.Duration) time.Duration {
 	if !o.cell.Stale() {
 		return never
 	}
-	if wait := o.scheduled + schedulePause - now; wait > 0 {
+	accepts := len(o.fresh) > 0 && !o.committing && now >= o.commitBegun+commitPause
+	if wait := o.scheduled + schedulePause - now; wait > 0 && !accepts {
 		return wait
 	}
 	o.scheduled = now
--- a/scheduler/owner_test.go
+++ b/scheduler/owner_test.go
@@ -74,3 +74,19 @@
 	c.Assert(o.Schedule(now+wait), qt.Equals, scheduler.Never)
 	c.Assert(o.Schedule(now+wait), qt.Equals, scheduler.Never, qt.Commentf("nothing has changed since"))
 }
+
+// A job comes just after a look at what waits, and a transaction can begin: the one that
+// accepts the job is to record its runs as well. In place of it the next one would, and the
+// store may be away by then.
+func TestNewJobIsPlacedBeforeItsAcceptanceIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	o := newOwner(&desk{})
+	now := time.Minute
+	o.Change()
+	c.Assert(o.Schedule(now), qt.Equals, scheduler.Never)
+	now += time.Millisecond
+	o.Change()
+	c.Assert(o.Schedule(now), qt.Equals, 19*time.Millisecond)
+	o.Take(now, 0, submission("a"))
+	c.Assert(o.Schedule(now), qt.Equals, scheduler.Never)
+}
