front, scheduler: the rank of a host is drawn only where it may decide

Found on reading the change again: each host went through all members ten times a second to know its rank, though it counts only where the owner seems to be gone; on hundreds of hosts that grows with their square. The bound from which an owner is behind stood in two packages. Behaviour is the same: a host of any rank takes no cell that one of rank 0 would not.

--- a/front/tenure.go
+++ b/front/tenure.go
@@ -41,10 +41,8 @@
 	// makeWayAfter is the least age of a tenure that is given up so. A hand-over costs
 	// some 0.2 s without starts, and larger hosts may come back one after the other.
 	makeWayAfter = 5 * time.Second
-	// behindBound is how long calls may wait at an owner that has enough processor time,
-	// behindLooks at how many looks in a row they must have waited longer for it to give
-	// the cell up: a burst passes.
-	behindBound = 500 * time.Millisecond
+	// behindLooks is at how many looks in a row calls must have waited longer than
+	// scheduler.BehindBound for an owner to give the cell up: a burst passes.
 	behindLooks = 2
 	// abstainTime is how long an owner that was behind comes after all others, by
 	// abstainRanks. Machines are slowed for some 7 s.
@@ -180,7 +178,7 @@
 			looksBehind = 0
 			continue
 		}
-		if o.Behind() > behindBound {
+		if o.Behind() > scheduler.BehindBound {
 			looksBehind++
 		} else {
 			looksBehind = 0
@@ -224,7 +222,12 @@
 		h.watcher = h.watcher.WithReach(now, linked, ready)
 		watcher, own := h.watcher, h.owner != nil
 		h.mu.Unlock()
-		if own || !ready || h.leaving.Load() || !watcher.ShouldTake(now, h.rank(watcher.Fence), linked, watcher.Owner == h.settings().Host) {
+		earlier := watcher.Owner == h.settings().Host
+		if own || !ready || h.leaving.Load() || !watcher.ShouldTake(now, 0, linked, earlier) {
+			continue
+		}
+		// The rank goes through all members, which is too dear for each look.
+		if !watcher.ShouldTake(now, h.rank(watcher.Fence), linked, earlier) {
 			continue
 		}
 		h.log.WithFields(logrus.Fields{
