scheduler, cell: a worker that replaces another is attended to

An owner looked for workers without a duty only while the number of its duties was not that of the workers. Where one worker left and another came between two looks, both numbers were equal: the new worker was never asked for a report, so that it got no work until the next worker came or went. Callers saw jobs wait while workers had room.

The cell counts a version of its fleet, and the owner compares that.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -32,6 +32,8 @@
 	workers map[string]*worker
 	// order lists the workers by ID, so that decisions repeat.
 	order []*worker
+	// fleetVersion rises with each worker that comes, goes or gets another address.
+	fleetVersion int
 	// lookedAt counts the workers that questions were chosen from.
 	lookedAt int
 	// turn is the place of the step that was last looked at in turn.
@@ -94,6 +96,9 @@
 // Workers returns the number of workers that are known.
 func (c *Cell) Workers() int { return len(c.workers) }
 
+// FleetVersion rises with each worker that comes, goes or gets another address.
+func (c *Cell) FleetVersion() int { return c.fleetVersion }
+
 func (c *Cell) change(j *job) {
 	if !j.isChanged {
 		j.isChanged = true
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -123,11 +123,15 @@
 		// The earlier life took its failures and its kind with it.
 		w.strikes, w.restUntil, w.faster = 0, 0, 0
 	}
+	if w.Address != announced.Address {
+		c.fleetVersion++
+	}
 	w.Worker, w.gone = announced, false
 	c.stale = true
 }
 
 func (c *Cell) addWorker(w *worker) {
+	c.fleetVersion++
 	c.workers[w.ID] = w
 	place, _ := slices.BinarySearchFunc(c.order, w.ID, func(other *worker, id string) int { return strings.Compare(other.ID, id) })
 	c.order = slices.Insert(c.order, place, w)
@@ -147,6 +151,7 @@
 
 func (c *Cell) dropIfEmpty(w *worker) {
 	if w.gone && len(w.runs) == 0 {
+		c.fleetVersion++
 		delete(c.workers, w.ID)
 		c.order = slices.DeleteFunc(c.order, func(other *worker) bool { return other == w })
 	}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/cell"
@@ -97,3 +98,12 @@
 
 // Take is take.
 func (o *Owner) Take(now, waited time.Duration, c intake.Call) { o.take(now, waited, "h", c) }
+
+// WorkerSeen takes the announcement of a worker.
+func (o *Owner) WorkerSeen(now time.Duration, w workload.Worker) { o.cell.WorkerSeen(now, w) }
+
+// WorkerGone takes a worker off.
+func (o *Owner) WorkerGone(now time.Duration, id string) { o.cell.WorkerGone(now, id) }
+
+// Attend is attend.
+func (o *Owner) Attend(ctx context.Context) { o.attend(ctx) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -73,7 +73,9 @@
 	duties map[string]*workerDuty
 	// attending limits how fast duties begin.
 	attending attending
-	group     sync.WaitGroup
+	// attended is the version of the fleet whose workers all have duties.
+	attended int
+	group    sync.WaitGroup
 
 	// catalogue is a version of the operator's queues that is not in force yet.
 	catalogue atomic.Pointer[workload.Catalogue]
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -78,7 +78,8 @@
 // attend begins duties for workers that are new, and ends those of workers that are
 // gone.
 func (o *Owner) attend(ctx context.Context) {
-	if o.cell.Workers() == len(o.duties) {
+	version := o.cell.FleetVersion()
+	if version == o.attended {
 		return
 	}
 	allowed := o.attending.allow(clock.Now())
@@ -101,6 +102,9 @@
 	o.workers.SetFleet(fleet)
 	// Those with runs go first: their leases are to go on.
 	slices.SortStableFunc(fresh, func(a, b workload.Worker) int { return cmp.Compare(o.cell.Runs(b.ID), o.cell.Runs(a.ID)) })
+	if len(fresh) <= allowed {
+		o.attended = version
+	}
 	fresh = fresh[:min(len(fresh), allowed)]
 	for _, w := range fresh {
 		o.duties[w.ID] = o.newDuty(ctx, w)
