scheduler: a missing worker is taken off however often the list is read

Each reading of the list of workers began the time anew after which a missing worker counts as gone. While the store forgets its history, or answers late, the list is read again and again, and a worker that had left stayed: questions of advice named it, and its loss was logged late or never. The timer also handed its event in without waiting for room, so that a full ring lost it.

The time begins when the worker is first missing, and each tick compares it. The test fails with the time begun anew on each list.

--- a/scheduler/attend_test.go
+++ b/scheduler/attend_test.go
@@ -71,3 +71,26 @@
 	o.Attend(ctx)
 	c.Assert(f.workers, qt.DeepEquals, []string{"b", "c"})
 }
+
+// The store forgets its history again and again, so that the list of workers is read anew
+// each second. A worker that left must not count as missing from the last list only, or it
+// stays among those that questions name.
+func TestMissingWorkerIsTakenOffHoweverOftenTheListIsRead(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{}
+	o := f.owner()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o.WorkerSeen(time.Second, workload.Worker{ID: "a", Address: "a", Life: 1})
+	o.Attend(ctx)
+	c.Assert(f.workers, qt.DeepEquals, []string{"a"})
+	for now := 2 * time.Second; now < 5*time.Second; now += time.Second {
+		o.ListWorkers(now, nil)
+		o.DropMissing(now)
+	}
+	c.Assert(f.workers, qt.DeepEquals, []string{"a"})
+	o.DropMissing(5 * time.Second)
+	time.Sleep(attendPause)
+	o.Attend(ctx)
+	c.Assert(f.workers, qt.HasLen, 0)
+}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -107,3 +107,9 @@
 
 // Attend is attend.
 func (o *Owner) Attend(ctx context.Context) { o.attend(ctx) }
+
+// ListWorkers is listWorkers.
+func (o *Owner) ListWorkers(now time.Duration, rows []ledger.Row) { o.listWorkers(now, rows) }
+
+// DropMissing is dropMissing.
+func (o *Owner) DropMissing(now time.Duration) { o.dropMissing(now) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -234,6 +234,7 @@
 			o.askDue = true
 			o.advance()
 			o.abandonFresh(clock.Now())
+			o.dropMissing(clock.Now())
 			o.takeWaves(clock.Now())
 			o.prune(clock.Now())
 			o.tellLoad(clock.Now())
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -105,14 +105,14 @@
 	}
 	for _, id := range o.cell.WorkerIDs() {
 		if !listed[id] {
-			o.missing(id)
+			o.missing(now, id)
 		}
 	}
 }
 
 func (o *Owner) changeWorker(now time.Duration, r ledger.Row) {
 	if r.Deleted {
-		o.missing(r.Key)
+		o.missing(now, r.Key)
 		return
 	}
 	w, err := platform.DecodeWorker(r)
@@ -127,20 +127,23 @@
 	}
 }
 
-// missing takes a worker off once it has been missing for some time.
-func (o *Owner) missing(id string) {
+// missing notes that a worker is not on the list. It is taken off at once if it is not
+// attended to, or else by dropMissing.
+func (o *Owner) missing(now time.Duration, id string) {
 	d := o.duties[id]
-	if d == nil {
-		o.cell.WorkerGone(clock.Now(), id)
-		return
+	switch {
+	case d == nil:
+		o.cell.WorkerGone(now, id)
+	case d.missingSince == 0:
+		d.missingSince = now
+	}
+}
+
+// dropMissing takes off the workers that have been missing for some time.
+func (o *Owner) dropMissing(now time.Duration) {
+	for id, d := range o.duties {
+		if d.missingSince != 0 && now-d.missingSince > goneDelay {
+			o.cell.WorkerGone(now, id)
+		}
 	}
-	since := clock.Now()
-	d.missingSince = since
-	time.AfterFunc(goneDelay, func() {
-		o.post(func(now time.Duration) {
-			if d.missingSince == since {
-				o.cell.WorkerGone(now, id)
-			}
-		})
-	})
 }
