cell: a worker that is off the list when its answer comes is asked about again

What the advice service said of a worker that the cell did not know at that moment was dropped, but the worker counted as asked about: the step never asked again, and never ran there. After an outage of the store, in which entries of workers lapse, or at a takeover, when hosts pass on the answers to an earlier owner's questions, that may be every worker that may run the step. Its job then could run and didn't, however much room was free, until the next owner came.

Only workers that are known count as asked about. The test fails before: the task never starts.

--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -213,7 +213,8 @@
 	}
 	fresh, good := 0, 0
 	for _, id := range q.Workers {
-		if t.asked[id] {
+		if t.asked[id] || c.workers[id] == nil {
+			// A worker that is off the list may come back: it is asked about again then.
 			continue
 		}
 		t.asked[id] = true
--- a/cell/tickets_test.go
+++ b/cell/tickets_test.go
@@ -140,3 +140,19 @@
 	c.Assert(w.questions, qt.HasLen, 1)
 	c.Assert(len(w.questions[0].Workers) <= 20, qt.IsTrue, qt.Commentf("%d workers for a gang of 10", len(w.questions[0].Workers)))
 }
+
+// An answer comes while a worker that it names is off the list, as after an outage of the
+// store. Once the worker is back, the step may run there: what the answer said of it is not
+// lost.
+func TestAnswerAboutAWorkerThatIsBackLater(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Advised", 1, nil))
+	c.Assert(w.questions, qt.HasLen, 1)
+	w.WorkerGone(w.now, "w0")
+	w.advise(func(string) bool { return true })
+	w.WorkerSeen(w.now, w.workers["w0"].Worker)
+	w.reportAll()
+	w.advise(func(string) bool { return true })
+	c.Assert(w.runningAll(), qt.Equals, 1)
+}
