cell: a step whose question was answered is looked at before its tickets lapse

Of a backlog of more than 200 steps, 40 are looked at in turn each time. A ticket lasts 2 s: behind 4,000 steps, or with an owner whose looks are far apart, it had lapsed when the step came to its turn, and the step asked again. Room that a gang had booked for its answer was given up after 0.2 s, before the gang was looked at. Questions that came to nothing kept the service busy, so that a backlog fed itself.

Steps that were just answered are looked at each time. They are as many as hosts get answers. The test fails before: the step is still queued.

--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -72,3 +72,28 @@
 	c.Assert(w.questions, qt.HasLen, late+1)
 	c.Assert(w.questions[late].Step.Job, qt.Equals, id(2000))
 }
+
+// A backlog stands before a step that can earn nothing any more, and whose question is
+// answered: it starts at the next look, as its tickets lapse before its turn comes in a
+// long backlog.
+func TestAnsweredStepStartsAtOnceBehindABacklog(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	for n := 1; n <= 4000; n++ {
+		w.Submit(w.now, job(id(n), "Plain", 1, func(s *workload.Step) { s.Size.Processors = 1000 * task.Processor }))
+	}
+	w.Submit(w.now, job(id(5000), "Advised", 1, func(s *workload.Step) { s.Estimate = 30 * second }))
+	for len(w.questions) == 0 {
+		w.now += 20 * ms
+		w.SetCatalogue(catalogue())
+		w.decide()
+	}
+	c.Assert(w.questions[0].Step.Job, qt.Equals, id(5000))
+	tickets := map[string]string{}
+	for _, worker := range w.questions[0].Workers {
+		tickets[worker] = "T"
+	}
+	w.Advised(w.now, w.now, w.questions[0], tickets)
+	w.decide()
+	c.Assert(w.states[id(5000)], qt.Equals, workload.Running)
+}
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -141,7 +141,7 @@
 	steps := c.waiting(now)
 	c.book(now, steps, held)
 	asking := countAsking(now, steps)
-	for _, r := range c.inTurn(steps) {
+	for _, r := range c.inTurn(now, steps) {
 		s, queue := r.step, r.queue
 		if !r.routed {
 			continue
@@ -165,17 +165,24 @@
 }
 
 // inTurn returns the steps that are looked at this time: the first in the order of service,
-// and some of the others, each time the next. A backlog costs no more than this, and all
-// of it comes to its turn.
-func (c *Cell) inTurn(steps []ranked) []ranked {
+// and of the others those that were just answered, and some more, each time the next. A
+// backlog costs no more than this, and all of it comes to its turn.
+func (c *Cell) inTurn(now time.Duration, steps []ranked) []ranked {
 	if len(steps) <= firstLooks+turnLooks {
 		return steps
 	}
 	turn := slices.Clone(steps[:firstLooks])
 	rest := steps[firstLooks:]
+	for _, s := range rest {
+		if s.tickets.justAnswered(now) {
+			turn = append(turn, s)
+		}
+	}
 	for range turnLooks {
 		c.turn = (c.turn + 1) % len(rest)
-		turn = append(turn, rest[c.turn])
+		if s := rest[c.turn]; !s.tickets.justAnswered(now) {
+			turn = append(turn, s)
+		}
 	}
 	return turn
 }
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -28,6 +28,10 @@
 	// busyRoom is the part of a worker without room that counts as free by the time of
 	// the answer.
 	busyRoom = 4
+	// answeredTurn is how long a step whose question was answered is looked at each time,
+	// wherever it stands in the order of service: some looks. Its tickets lapse 2 s after
+	// the answer.
+	answeredTurn = 200 * time.Millisecond
 	// roomSteps is how finely workers are told apart by their room: all questions would
 	// name the same few otherwise.
 	roomSteps = 4
@@ -82,6 +86,11 @@
 // known reports whether a question about the step was ever answered.
 func (t *tickets) known() bool { return t.good != nil }
 
+// justAnswered reports whether an answer came a short time ago.
+func (t *tickets) justAnswered(now time.Duration) bool {
+	return t.answered != 0 && now-t.answered < answeredTurn
+}
+
 // waitsForAnswer reports whether a question is under way.
 func (t *tickets) waitsForAnswer(now time.Duration) bool {
 	return t.pending != 0 && now < t.pending+t.patience
