cell: steps in time don't keep late ones from asking for advice

After hosts were lost with questions under way, jobs in time alone were more, for as long as the answers were waited for, and jobs that were late but could still earn something stood still.

The bound counts late steps alone; questions of jobs in time go first at the desk in any case. The test fails before.

--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -97,3 +97,22 @@
 	w.decide()
 	c.Assert(w.states[id(5000)], qt.Equals, workload.Running)
 }
+
+// Jobs that can be in time wait for many answers, as from hosts that were lost. A job that
+// is late asks all the same: its question comes after theirs, but it must not wait until
+// none of them asks.
+func TestLateJobAsksBesideAnyNumberInTime(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(100)
+	w.Submit(w.now, job(id(1), "Advised", 1, nil))
+	w.now += 6 * second
+	for n := 2; n <= 150; n++ {
+		w.Submit(w.now, job(id(n), "Advised", 1, nil))
+	}
+	w.decide()
+	asked := false
+	for _, q := range w.questions {
+		asked = asked || q.Step.Job == id(1)
+	}
+	c.Assert(asked, qt.IsTrue)
+}
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -140,17 +140,23 @@
 	gangsHeld := 0
 	steps := c.waiting(now)
 	c.book(now, steps, held)
-	asking := countAsking(now, steps)
+	lateAsking := countLateAsking(now, steps)
 	for _, r := range c.inTurn(now, steps) {
 		s, queue := r.step, r.queue
 		if !r.routed {
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.known() {
-			if !s.tickets.waitsForAnswer(now) && (r.standing == inTime || asking < maxLateAsking) {
-				asking++
-				c.askFirst(now, s, queue)
+			if s.tickets.waitsForAnswer(now) {
+				continue
 			}
+			if r.standing != inTime {
+				if lateAsking >= maxLateAsking {
+					continue
+				}
+				lateAsking++
+			}
+			c.askFirst(now, s, queue)
 			continue
 		}
 		if !s.Gang {
@@ -187,11 +193,12 @@
 	return turn
 }
 
-// countAsking counts the steps that wait for an answer about their workers.
-func countAsking(now time.Duration, steps []ranked) int {
+// countLateAsking counts the steps that are late and wait for an answer about their
+// workers. Those in time may ask at any moment, and must not keep these from it.
+func countLateAsking(now time.Duration, steps []ranked) int {
 	n := 0
 	for _, s := range steps {
-		if s.tickets.waitsForAnswer(now) {
+		if s.standing != inTime && s.tickets.waitsForAnswer(now) {
 			n++
 		}
 	}
