--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -140,17 +140,23 @@
 	gangsHeld := 0
 	steps := c.waiting(now)
 	c.book(now, steps, held)
-	asking := countAsking(now, steps)
-	for _, r := range c.inTurn(steps) {
+	lateAsking := countLateAsking(now, steps)
+	for _, r := range c.inTurn(now, steps) {
 		s, queue := r.step, r.queue
 		if !r.routed {
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.known() {
-			if !s.tickets.waitsForAnswer(now) && (r.standing == inTime || asking < maxLateAsking) {
-				asking++
-				c.askFirst(now, s, queue)
+			if s.tickets.waitsForAnswer(now) {
+				continue
 			}
+			if r.standing != inTime {
+				if lateAsking >= maxLateAsking {
+					continue
+				}
+				lateAsking++
+			}
+			c.askFirst(now, s, queue)
 			continue
 		}
 		if !s.Gang {
@@ -165,26 +171,34 @@
 }
 
 // inTurn returns the steps that are looked at this time: the first in the order of service,
-// and some of the others, each time the next. A backlog costs no more than this, and all
-// of it comes to its turn.
-func (c *Cell) inTurn(steps []ranked) []ranked {
+// and of the others those that were just answered, and some more, each time the next. A
+// backlog costs no more than this, and all of it comes to its turn.
+func (c *Cell) inTurn(now time.Duration, steps []ranked) []ranked {
 	if len(steps) <= firstLooks+turnLooks {
 		return steps
 	}
 	turn := slices.Clone(steps[:firstLooks])
 	rest := steps[firstLooks:]
+	for _, s := range rest {
+		if s.tickets.justAnswered(now) {
+			turn = append(turn, s)
+		}
+	}
 	for range turnLooks {
 		c.turn = (c.turn + 1) % len(rest)
-		turn = append(turn, rest[c.turn])
+		if s := rest[c.turn]; !s.tickets.justAnswered(now) {
+			turn = append(turn, s)
+		}
 	}
 	return turn
 }
 
-// countAsking counts the steps that wait for an answer about their workers.
-func countAsking(now time.Duration, steps []ranked) int {
+// countLateAsking counts the steps that are late and wait for an answer about their
+// workers. Those in time may ask at any moment, and must not keep these from it.
+func countLateAsking(now time.Duration, steps []ranked) int {
 	n := 0
 	for _, s := range steps {
-		if s.tickets.waitsForAnswer(now) {
+		if s.standing != inTime && s.tickets.waitsForAnswer(now) {
 			n++
 		}
 	}
