ledger, front: a cell is taken from the tenure that was seen, not from its host

A host decides to take the cell when the owner is gone, and names the owner that it saw. The owner's next process on the same host, which takes the cell at once, has the same name: with a slow store the cell changed hands twice within a second.

The head row tells the fencing token, and Take the tenure that it expects. Ruled out: to give the owner's next process no precedence, which costs 0.75 s on each restart. The test fails before: the second take succeeds.

--- a/front/tenure.go
+++ b/front/tenure.go
@@ -233,12 +233,12 @@
 		h.log.WithFields(logrus.Fields{
 			"owner": watcher.Owner, "fence": watcher.Fence, "age_ms": (now - watcher.Renewed).Milliseconds(), "linked": linked,
 		}).Info("front: taking the cell")
-		h.tenure(ctx, watcher.Owner)
+		h.tenure(ctx, ledger.Lease{Owner: watcher.Owner, Fence: watcher.Fence})
 	}
 }
 
-// tenure takes the cell from an earlier owner and decides for it until it is lost.
-func (h *Host) tenure(ctx context.Context, earlier string) {
+// tenure takes the cell after an earlier tenure and decides for it until it is lost.
+func (h *Host) tenure(ctx context.Context, earlier ledger.Lease) {
 	s := h.settings()
 	takeContext, cancel := context.WithTimeout(ctx, takeTimeout)
 	l, err := ledger.Take(takeContext, h.store, cellName, s.Host, h.incarnation, earlier)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -55,6 +55,9 @@
 	// Transaction is unique, so that an owner finds out whether a transaction
 	// without an answer has taken effect.
 	Transaction string `cbor:"2,keyasint"`
+	// Fence is the owner's fencing token; 0 is that of an earlier version, which didn't
+	// write it.
+	Fence int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Lease is the row that tells who owns a cell and that the owner lives.
@@ -103,9 +106,10 @@
 	patience patience
 }
 
-// Take makes the named member the owner of a cell, unless somebody other than the
-// earlier owner has it by now; the error is then ErrLost.
-func Take(ctx context.Context, store Store, cell, owner, incarnation, earlier string) (*Ledger, error) {
+// Take makes the named member the owner of a cell after an earlier tenure, unless the cell
+// is in a later one by now, also of the same member; the error is then ErrLost. What an
+// earlier process of the named member has is always taken.
+func Take(ctx context.Context, store Store, cell, owner, incarnation string, earlier Lease) (*Ledger, error) {
 	page, err := store.Rows(ctx, HeadTable, cell, headKey, 1)
 	if err != nil {
 		return nil, errors.Annotatef(err, "head of cell %s", cell)
@@ -115,7 +119,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "cell %s", cell)
 	}
-	if h.Owner != "" && h.Owner != earlier && h.Owner != owner {
+	if h.Owner != "" && h.Owner != owner && (h.Owner != earlier.Owner || h.Fence > earlier.Fence) {
 		return nil, errors.Annotatef(ErrLost, "cell %s was taken by %s", cell, h.Owner)
 	}
 	l.version = version
@@ -244,7 +248,7 @@
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
 	l.count++
 	number := l.incarnation + "." + strconv.FormatInt(l.count, 10)
-	headValue, err := codec.Marshal(head{Owner: owner, Transaction: number})
+	headValue, err := codec.Marshal(head{Owner: owner, Transaction: number, Fence: l.fence})
 	if err != nil {
 		return Transaction{}, "", errors.Trace(err)
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 }
 
 func take(t *testing.T, f *fakeStore, owner, earlier string) *ledger.Ledger {
-	l, err := ledger.Take(context.Background(), f, "C", owner, owner+"-1", earlier)
+	l, err := ledger.Take(context.Background(), f, "C", owner, owner+"-1", ledger.Lease{Owner: earlier, Fence: math.MaxInt64})
 	qt.Assert(t, err, qt.IsNil)
 	return l
 }
@@ -109,10 +110,26 @@
 	f := newFakeStore()
 	take(t, f, "a", "")
 	take(t, f, "b", "a")
-	_, err := ledger.Take(context.Background(), f, "C", "c", "c-1", "a")
+	_, err := ledger.Take(context.Background(), f, "C", "c", "c-1", ledger.Lease{Owner: "a", Fence: math.MaxInt64})
 	qt.Assert(t, errors.Is(err, ledger.ErrLost), qt.IsTrue)
 }
 
+// An owner's process ends, and the one that follows it on its host takes the cell at once.
+// A host that decided to take the cell from the first process must not take it from the
+// second: the cell would change hands twice.
+func TestTakeFromTheExpectedTenureOnly(t *testing.T) {
+	f := newFakeStore()
+	first := take(t, f, "a", "")
+	earlier := ledger.Lease{Owner: "a", Fence: first.Fence()}
+	second, err := ledger.Take(context.Background(), f, "C", "a", "a-2", earlier)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = ledger.Take(context.Background(), f, "C", "b", "b-1", earlier)
+	qt.Assert(t, errors.Is(err, ledger.ErrLost), qt.IsTrue)
+	qt.Assert(t, second.Append(context.Background(), write("k", "1")), qt.IsNil)
+	_, err = ledger.Take(context.Background(), f, "C", "b", "b-1", ledger.Lease{Owner: "a", Fence: second.Fence()})
+	qt.Assert(t, err, qt.IsNil)
+}
+
 func TestLostAnswersAreSettled(t *testing.T) {
 	for _, carriedOut := range []bool{true, false} {
 		f := newFakeStore()
@@ -163,7 +180,7 @@
 func TestEachTransactionOfABatchShowsThatTheStoreRecords(t *testing.T) {
 	c := qt.New(t)
 	store := newFakeStore()
-	l, err := ledger.Take(context.Background(), store, "cell", "a", "1", "")
+	l, err := ledger.Take(context.Background(), store, "cell", "a", "1", ledger.Lease{})
 	c.Assert(err, qt.IsNil)
 	var seen []time.Duration
 	store.lose = func() (lost, carriedOut bool) {
