scheduler: jobs that are accepted together share a row

A transaction takes 100 rows, and each new job was one of them.

The row goes once all of its jobs are over; until then the final states of those in it are kept, whatever their age, or the next owner would run them again. Ruled out: to tell the acceptance after each transaction of several, which leaves 100 jobs a second.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,7 +20,7 @@
 	HeadTable = "cell"
 	// LeaseTable holds a row for each cell that its owner renews.
 	LeaseTable = "lease"
-	// JobTable, ProgressTable and FinishedTable hold a row for each job.
+	// JobTable, ProgressTable and FinishedTable hold the jobs of a cell, many in a row.
 	JobTable      = "job"
 	ProgressTable = "progress"
 	FinishedTable = "finished"
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -143,7 +143,7 @@
 	oldest := time.Now().Add(-o.options.StatusKept - time.Minute).UnixMilli()
 	var old []string
 	o.records.finished.each(func(id string, f finished) {
-		if f.At < oldest && !o.pendingFinal[id] {
+		if f.At < oldest && !o.pendingFinal[id] && !o.records.jobs.has(id) {
 			old = append(old, id)
 		}
 	})
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -27,12 +27,23 @@
 
 // Read takes a row that an earlier owner wrote.
 func (r *records) Read(row ledger.Row) error {
-	if row.Table == ledger.FinishedTable {
+	switch row.Table {
+	case ledger.FinishedTable:
 		return r.finished.read(row)
+	case ledger.JobTable:
+		_, err := r.jobs.read(row)
+		return err
+	default:
+		return r.progress.read(row)
 	}
-	return r.progress.read(row)
 }
 
+// Jobs returns the jobs of a row that an earlier owner wrote.
+func (r *records) Jobs(row ledger.Row) ([]workload.Job, error) { return r.jobs.read(row) }
+
+// HasRow reports whether a row has a job.
+func (r *records) HasRow(id string) bool { return r.jobs.has(id) }
+
 // Progress returns the progress of a job that is not over.
 func (r *records) Progress(id string) (cell.Progress, bool) { return r.progress.get(id) }
 
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,18 +1,13 @@
 package scheduler
 
 import (
-	"slices"
-
-	"github.com/juju/errors"
-
 	"github.com/vanillaquay/vanillaquay/cell"
-	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// removalsMost bounds the rows of final jobs that one transaction removes.
+// removalsMost bounds the rows of jobs that are over that one transaction removes.
 const removalsMost = 16
 
 // finished is what is kept of a job that is final.
@@ -25,19 +20,19 @@
 
 // records is what the store has, or is about to have, of the jobs of a cell. A job
 // that is final has an entry in finished; it has one in progress as long as runs of it
-// take room. Its row in the table of jobs is removed after that, when there is time.
+// take room. Its row in the table of jobs is removed after that, when there is time, and its
+// entry in finished not before that.
 type records struct {
 	part     string
 	progress book[cell.Progress]
 	finished book[finished]
-	created  []workload.Job
-	removals []string
+	jobs     *jobPages
 	// waves holds the progress of waves that has changed.
 	waves []upkeep.Progress
 }
 
 func newRecords(part string) *records {
-	r := &records{part: part}
+	r := &records{part: part, jobs: newJobPages(part)}
 	r.progress.table, r.finished.table = ledger.ProgressTable, ledger.FinishedTable
 	return r
 }
@@ -45,7 +40,7 @@
 // add takes a change of a job.
 func (r *records) add(wall int64, c cell.Change) {
 	if c.New {
-		r.created = append(r.created, c.Job)
+		r.jobs.create(c.Job)
 	}
 	if !c.Progress.Over() {
 		r.progress.set(c.Job.ID, c.Progress)
@@ -58,34 +53,29 @@
 	}
 	if c.Progress.Over() {
 		r.progress.remove(c.Job.ID)
-		r.removals = append(r.removals, c.Job.ID)
+		r.jobs.over(c.Job.ID)
 	}
 }
 
 // abandon forgets a job that was created and not taken yet.
 func (r *records) abandon(id string) {
-	r.created = slices.DeleteFunc(r.created, func(j workload.Job) bool { return j.ID == id })
+	r.jobs.abandon(id)
 	r.progress.remove(id)
 }
 
 // empty reports whether nothing has to be written soon.
 func (r *records) empty() bool {
-	return len(r.created) == 0 && len(r.waves) == 0 && r.progress.empty() && r.finished.empty()
+	return len(r.jobs.created) == 0 && len(r.waves) == 0 && r.progress.empty() && r.finished.empty()
 }
 
 // take returns the rows to write. They may be split between transactions at any
 // place: a job without progress hasn't begun, and one that is final stays so
 // whatever else is left of it.
 func (r *records) take() ([]ledger.Change, error) {
-	var changes []ledger.Change
-	for _, j := range r.created {
-		value, err := codec.Marshal(j)
-		if err != nil {
-			return nil, errors.Annotatef(err, "job %s", j.ID)
-		}
-		changes = append(changes, ledger.Change{Writes: []ledger.Row{{Table: ledger.JobTable, Part: r.part, Key: j.ID, Value: value}}})
+	changes, err := r.jobs.writes()
+	if err != nil {
+		return nil, err
 	}
-	r.created = nil
 	final, err := r.finished.take(r.part)
 	if err != nil {
 		return nil, err
@@ -101,10 +91,6 @@
 	}
 	r.waves = nil
 	changes = append(changes, wave...)
-	n := min(len(r.removals), removalsMost)
-	for _, id := range r.removals[:n] {
-		changes = append(changes, ledger.Change{Removes: []ledger.Row{{Table: ledger.JobTable, Part: r.part, Key: id}}})
-	}
-	r.removals = r.removals[n:]
+	changes = append(changes, r.jobs.removes(removalsMost)...)
 	return changes, nil
 }
--- a/scheduler/record_test.go
+++ b/scheduler/record_test.go
@@ -47,12 +47,21 @@
 // read returns the records of a new owner.
 func (t table) read(c *qt.C) *scheduler.Records {
 	r := scheduler.NewRecords("p")
+	for _, row := range t {
+		c.Assert(r.Read(row), qt.IsNil)
+	}
+	return r
+}
+
+// rows returns the rows of one table.
+func (t table) rows(name string) []ledger.Row {
+	var rows []ledger.Row
 	for key, row := range t {
-		if !strings.HasPrefix(key, ledger.JobTable) {
-			c.Assert(r.Read(row), qt.IsNil)
+		if strings.HasPrefix(key, name+"/") {
+			rows = append(rows, row)
 		}
 	}
-	return r
+	return rows
 }
 
 // checkTasks checks that the first jobs are known, each with a number of tasks.
@@ -113,8 +122,7 @@
 	store.apply(c, next)
 	_, ok = store.read(c).Progress("a")
 	c.Assert(ok, qt.IsFalse)
-	_, ok = store[ledger.JobTable+"/a"]
-	c.Assert(ok, qt.IsFalse)
+	c.Assert(store.rows(ledger.JobTable), qt.HasLen, 0)
 }
 
 func TestAbandonedJobLeavesNothing(t *testing.T) {
@@ -123,9 +131,8 @@
 	r.Add(0, change("a", workload.Queued, 0, true))
 	r.Abandon("a")
 	store.apply(c, r)
-	_, ok := store[ledger.JobTable+"/a"]
-	c.Assert(ok, qt.IsFalse)
-	_, ok = store.read(c).Progress("a")
+	c.Assert(store.rows(ledger.JobTable), qt.HasLen, 0)
+	_, ok := store.read(c).Progress("a")
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -135,6 +142,9 @@
 		{Table: ledger.ProgressTable, Key: "100.0", Value: []byte("no")},
 		{Table: ledger.FinishedTable, Key: "7"},
 		{Table: ledger.ProgressTable, Key: "999.0", Value: []byte{0xa0}},
+		{Table: ledger.JobTable, Key: "pa", Value: []byte{0xa0}},
+		{Table: ledger.JobTable, Key: "a", Value: []byte{0x80}},
+		{Table: ledger.JobTable},
 	} {
 		qt.Check(t, r.Read(row), qt.IsNotNil, qt.Commentf("%v", row))
 	}
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/vanillaquay/vanillaquay/clock"
-	"github.com/vanillaquay/vanillaquay/codec"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -48,11 +47,13 @@
 	o.cell.Tick(now, time.Now().UnixMilli())
 	bound := now + o.options.PatienceOfEarlier
 	for _, r := range jobs {
-		var job workload.Job
-		if err := codec.Unmarshal(r.Value, &job); err != nil {
-			return errors.Annotatef(err, "job %s", r.Key)
+		page, err := o.records.jobs.read(r)
+		if err != nil {
+			return err
+		}
+		for _, job := range page {
+			o.restore(now, bound, job)
 		}
-		o.restore(now, bound, job)
 	}
 	o.log.WithFields(logrus.Fields{
 		"fence": o.Fence(), "jobs": o.cell.Jobs(), "finished": o.records.finished.len(), "workers": o.cell.Workers(), "ms": (clock.Now() - begun).Milliseconds(),
@@ -65,7 +66,7 @@
 	progress, begun := o.records.progress.get(job.ID)
 	f, final := o.records.finished.get(job.ID)
 	if final && (!begun || progress.Over()) {
-		o.records.removals = append(o.records.removals, job.ID)
+		o.records.jobs.over(job.ID)
 		return
 	}
 	if final {
