scheduler: a slow store is no reason to refuse new jobs

New jobs were refused, and those that waited for their record taken back, once a transaction took 0.9 s.

The bound follows the last transaction and is 1.2 s at least, 1.8 s at most; other hosts hear of an owner for which the store records nothing after 0.9 s as before.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -14,8 +14,15 @@
 	commitPause = 25 * time.Millisecond
 	// commitWeight is the weight of the past in the mean length of a transaction.
 	commitWeight = 3
-	// stallBound is how long a transaction may take before new jobs are refused.
+	// stallBound is how long the store may record nothing before an owner says so to the
+	// other hosts, which take the cell if the store serves them.
 	stallBound = 900 * time.Millisecond
+	// leastRefusal is how long a transaction may take at least before new jobs are
+	// refused: a store that is 100 times slower than usual takes 1 s, and records.
+	leastRefusal = 1200 * time.Millisecond
+	// mostRefusal bounds that time: callers wait 3 s, of which a job that comes now needs
+	// the rest of this transaction and the next.
+	mostRefusal = 1800 * time.Millisecond
 	// stallRetry is when callers that were refused then may come back.
 	stallRetry = time.Second
 	// longestRetry bounds that time.
@@ -74,6 +81,7 @@
 
 // learnDelay takes the length of a transaction.
 func (o *Owner) learnDelay(length time.Duration) {
+	o.commitLast = length
 	o.commitMean += (length - o.commitMean) / commitWeight
 }
 
@@ -91,13 +99,22 @@
 // the store is slow may take several transactions, each of which shows that it does.
 func (o *Owner) Stalled() bool {
 	now := clock.Now()
-	return o.stalled(now) && now-o.ledger.Committed() > stallBound
+	return o.recordsFor(now) > stallBound && now-o.ledger.Committed() > stallBound
 }
 
-// stalled reports whether recording takes too long for new jobs.
+// stalled reports whether recording takes too long for new jobs: much longer than the last
+// time. A slow store is no reason to refuse what it will record in time.
 func (o *Owner) stalled(now time.Duration) bool {
+	return o.recordsFor(now) > min(mostRefusal, max(leastRefusal, 3*o.commitLast/2))
+}
+
+// recordsFor returns for how long the transaction under way has been.
+func (o *Owner) recordsFor(now time.Duration) time.Duration {
 	begun := time.Duration(o.underWay.Load())
-	return begun != 0 && now-begun > stallBound
+	if begun == 0 {
+		return 0
+	}
+	return now - begun
 }
 
 // orderly reports whether this owner may give orders: nobody else can have had the
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -124,3 +124,12 @@
 
 // DropMissing is dropMissing.
 func (o *Owner) DropMissing(now time.Duration) { o.dropMissing(now) }
+
+// Record makes a transaction last that began at begun, after one of a length.
+func (o *Owner) Record(begun, last time.Duration) {
+	o.learnDelay(last)
+	o.underWay.Store(int64(begun))
+}
+
+// AbandonFresh is abandonFresh.
+func (o *Owner) AbandonFresh(now time.Duration) { o.abandonFresh(now) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -98,7 +98,9 @@
 	// last one succeeded.
 	commitBegun time.Duration
 	// commitMean is the moving mean of the length of a transaction.
-	commitMean  time.Duration
+	commitMean time.Duration
+	// commitLast is the length of the last transaction.
+	commitLast  time.Duration
 	commitEnded atomic.Int64
 	// underWay is when the transaction under way began, for other duties; 0 is none.
 	underWay atomic.Int64
