--- /dev/null
+++ b/cell/bench_test.go
@@ -0,0 +1,41 @@
+package cell_test
+
+import (
+	"testing"
+
+	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// crowded returns a busy cell of 350 workers in which steps of a backlog wait, a quarter of
+// them gangs, most of which know the workers that may run them.
+func crowded(steps int) *world {
+	w := newWorld(350)
+	for n := range 350 {
+		w.submit(job(id(n), "Plain", 4, func(s *workload.Step) { s.Estimate = 20 * second }))
+	}
+	for n := range steps {
+		w.Submit(w.now, job(id(1000+n), "Advised", 20, func(s *workload.Step) {
+			s.Gang = n%4 == 0
+			s.Size.Processors = 3 * task.Processor
+			s.Estimate = 5 * second
+		}))
+	}
+	for range 3 {
+		w.decide()
+		w.advise(func(id string) bool { return id[len(id)-1]%3 == 0 })
+		w.now += 20 * ms
+	}
+	return w
+}
+
+// BenchmarkScheduleBacklog is one look at what waits after an outage.
+func BenchmarkScheduleBacklog(b *testing.B) {
+	w := crowded(800)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now += 20 * ms
+		w.SetCatalogue(catalogue())
+		w.decide()
+	}
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -36,6 +36,10 @@
 	fleetVersion int
 	// lookedAt counts the workers that questions were chosen from.
 	lookedAt int
+	// byRoom holds the workers by the part of them that is taken, as of the first question
+	// of the present look at what waits, if isByRoom is set.
+	byRoom   [roomSteps + 1]alike
+	isByRoom bool
 	// turn is the place of the step that was last looked at in turn.
 	turn int
 	// changed holds the jobs whose record is out of date, in the order of change.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -23,7 +23,7 @@
 const bookingRest = 200 * time.Millisecond
 
 // placeGang starts all tasks of a gang if there is room for all of them.
-func (c *Cell) placeGang(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) bool {
+func (c *Cell) placeGang(now time.Duration, s *step, queue workload.Queue) bool {
 	number := 0
 	for _, t := range s.tasks {
 		if !t.waits(now) {
@@ -32,12 +32,12 @@
 		}
 		number = max(number, t.run)
 	}
-	release(s, held)
+	release(s)
 	list := c.candidates(now, s, queue)
-	plan := planGang(s, c.ticketed(now, s, queue, list), held)
+	plan := planGang(s, c.ticketed(now, s, queue, list))
 	if plan == nil {
-		c.askForGang(now, s, queue, list, held)
-		keep(s, held)
+		c.askForGang(now, s, queue, list)
+		keep(s)
 		return false
 	}
 	s.booked = nil
@@ -61,16 +61,16 @@
 
 // planGang returns a worker for each task, or nil if not all fit. A gang that
 // should share a rack is planned in one rack, if one can take it.
-func planGang(s *step, list []*worker, held map[string]task.Size) []*worker {
+func planGang(s *step, list []*worker) []*worker {
 	if s.SameRack {
 		for _, rack := range racksOf(list) {
 			inRack := slices.DeleteFunc(slices.Clone(list), func(w *worker) bool { return w.Rack() != rack })
-			if plan := fill(s, inRack, held); len(plan) == len(s.tasks) {
+			if plan := fill(s, inRack); len(plan) == len(s.tasks) {
 				return plan
 			}
 		}
 	}
-	if plan := fill(s, list, held); len(plan) == len(s.tasks) {
+	if plan := fill(s, list); len(plan) == len(s.tasks) {
 		return plan
 	}
 	return nil
@@ -78,24 +78,24 @@
 
 // askForGang asks for the tickets that a gang lacks, once it would have room with
 // them.
-func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, good []*worker, held map[string]task.Size) {
+func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, good []*worker) {
 	if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
 		return
 	}
-	if plan := planGang(s, good, held); plan != nil {
-		c.ask(now, s, queue, spareFor(s, plan, good, held))
+	if plan := planGang(s, good); plan != nil {
+		c.ask(now, s, queue, spareFor(s, plan, good))
 		s.booked = plan
 		return
 	}
-	unasked := slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) })
-	if len(fill(s, append(slices.Clone(good), unasked...), held)) == len(s.tasks) {
+	unasked := c.unaskedWithRoom(now, s, queue)
+	if len(fill(s, append(slices.Clone(good), unasked...))) == len(s.tasks) {
 		c.ask(now, s, queue, append(c.enough(now, s, queue, unasked, c.goodShares.of(queue.Name)), good...))
 	}
 }
 
 // spareFor returns the workers of a plan, and half as many others with room for a task, so
 // that a worker that fails meanwhile does not cost another question.
-func spareFor(s *step, plan, good []*worker, held map[string]task.Size) []*worker {
+func spareFor(s *step, plan, good []*worker) []*worker {
 	var named []*worker
 	for _, w := range plan {
 		if !slices.Contains(named, w) {
@@ -107,7 +107,7 @@
 		if spare == 0 {
 			break
 		}
-		if !slices.Contains(named, w) && s.Room().Fits(w.free().Minus(held[w.ID])) {
+		if !slices.Contains(named, w) && s.Room().Fits(w.spare()) {
 			named = append(named, w)
 			spare--
 		}
@@ -115,43 +115,55 @@
 	return named
 }
 
-// fill returns workers for as many tasks of a gang as fit.
-func fill(s *step, list []*worker, held map[string]task.Size) []*worker {
-	extra := map[string]taken{}
+// fill returns workers for as many tasks of a gang as fit. The worker that is best for one
+// task is best for the next as well, as long as it has room.
+func fill(s *step, list []*worker) []*worker {
+	full := map[*worker]bool{}
 	var plan []*worker
-	for range s.tasks {
-		w := best(s, list, held, extra)
+	for len(plan) < len(s.tasks) {
+		w := best(s, list, full)
 		if w == nil {
 			return plan
 		}
-		e := extra[w.ID]
-		extra[w.ID] = taken{size: e.size.Plus(s.Room()), tasks: e.tasks + 1}
-		plan = append(plan, w)
+		full[w] = true
+		plan = append(plan, slices.Repeat([]*worker{w}, min(s.fitting(w), len(s.tasks)-len(plan)))...)
 	}
 	return plan
 }
 
+// fitting returns how many tasks of a step a worker may get now.
+func (s *step) fitting(w *worker) int {
+	n := len(s.tasks)
+	if room := s.Room(); room != (task.Size{}) {
+		n = int(min(int64(n), room.CountIn(w.spare())))
+	}
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker-s.tasksOn(w))
+	}
+	return max(0, n)
+}
+
 // holdRoom keeps what a gang could use already from the steps after it, so that
 // small tasks can't starve it. For the tasks that do not fit yet it keeps room free
 // on the workers that lack least, since small tasks would take each part of it
 // that becomes free.
-func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
+func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue) {
 	if s.booked != nil {
 		// It has all that it needs.
 		return
 	}
 	list := c.candidates(now, s, queue)
-	members := map[string]int{}
+	members := map[*worker]int{}
 	hold := func(w *worker) {
-		held[w.ID] = held[w.ID].Plus(s.Room())
-		members[w.ID]++
+		w.held = w.held.Plus(s.Room())
+		members[w]++
 	}
-	plan := fill(s, list, held)
+	plan := fill(s, list)
 	for _, w := range plan {
 		hold(w)
 	}
 	for range len(s.tasks) - len(plan) {
-		w := nearest(s, list, held, members)
+		w := nearest(s, list, members)
 		if w == nil {
 			return
 		}
@@ -161,17 +173,17 @@
 
 // nearest returns the worker that lacks least for a task of a step. members counts the
 // tasks that it is held for already.
-func nearest(s *step, list []*worker, held map[string]task.Size, members map[string]int) *worker {
+func nearest(s *step, list []*worker, members map[*worker]int) *worker {
 	var chosen *worker
 	var least float64
 	for _, w := range list {
-		if !s.Room().Fits(w.Capacity.Minus(held[w.ID])) {
+		if !s.Room().Fits(w.Capacity.Minus(w.held)) {
 			continue
 		}
-		if s.MaxPerWorker > 0 && s.tasksOn(w)+members[w.ID] >= s.MaxPerWorker {
+		if s.MaxPerWorker > 0 && s.tasksOn(w)+members[w] >= s.MaxPerWorker {
 			continue
 		}
-		lacks := s.Room().Minus(w.free().Minus(held[w.ID])).Dominant(w.Capacity)
+		lacks := s.Room().Minus(w.spare()).Dominant(w.Capacity)
 		if chosen == nil || lacks < least {
 			chosen, least = w, lacks
 		}
@@ -181,7 +193,7 @@
 
 // book keeps the room of gangs whose tickets are on their way, so that the question,
 // which may take a second, isn't in vain.
-func (c *Cell) book(now time.Duration, steps []ranked, held map[string]task.Size) {
+func (c *Cell) book(now time.Duration, steps []ranked) {
 	for _, s := range steps {
 		if !s.Gang || s.booked == nil {
 			continue
@@ -190,21 +202,21 @@
 			s.booked = nil
 			continue
 		}
-		keep(s.step, held)
+		keep(s.step)
 	}
 }
 
 // keep keeps the room that is booked for a gang from other steps, release gives it to
 // the gang.
-func keep(s *step, held map[string]task.Size) {
+func keep(s *step) {
 	for _, w := range s.booked {
-		held[w.ID] = held[w.ID].Plus(s.Room())
+		w.held = w.held.Plus(s.Room())
 	}
 }
 
-func release(s *step, held map[string]task.Size) {
+func release(s *step) {
 	for _, w := range s.booked {
-		held[w.ID] = held[w.ID].Minus(s.Room())
+		w.held = w.held.Minus(s.Room())
 	}
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -67,20 +67,20 @@
 
 // placeTasks starts the tasks of a step that wait, each on the best worker. If
 // tasks are left, it asks for tickets of workers that have room.
-func (c *Cell) placeTasks(now time.Duration, s *step, queue workload.Queue, held map[string]task.Size) {
+func (c *Cell) placeTasks(now time.Duration, s *step, queue workload.Queue) {
 	list := c.candidates(now, s, queue)
 	allowed := c.ticketed(now, s, queue, list)
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
 		}
-		w := best(s, allowed, held, nil)
+		w := best(s, allowed, nil)
 		if w == nil {
 			if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
 				return
 			}
 			c.askMore(now, s, queue, slices.DeleteFunc(slices.Clone(list), func(w *worker) bool {
-				return c.valid(now, s, w) || best(s, []*worker{w}, held, nil) == nil
+				return c.valid(now, s, w) || s.fitting(w) == 0
 			}))
 			return
 		}
@@ -93,27 +93,27 @@
 func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
 	share := 1.0
 	if len(good) == 0 {
-		good = slices.DeleteFunc(c.unasked(s, queue), func(w *worker) bool { return !c.usable(now, w) || !s.Room().Fits(w.free()) })
+		good = c.unaskedWithRoom(now, s, queue)
 		share = c.goodShares.of(queue.Name)
 	}
 	c.ask(now, s, queue, c.enough(now, s, queue, good, share))
 }
 
 // best returns the worker on which a task of the step leaves least room, of those
-// near its data if it fits there. extra is room that is taken besides.
-func best(s *step, list []*worker, held map[string]task.Size, extra map[string]taken) *worker {
+// near its data if it fits there. Those in full are passed over.
+func best(s *step, list []*worker, full map[*worker]bool) *worker {
 	size := s.Room()
 	var chosen *worker
 	var chosenRank placeRank
 	for _, w := range list {
-		free := w.free().Minus(held[w.ID]).Minus(extra[w.ID].size)
-		if !size.Fits(free) {
+		spare := w.spare()
+		if !size.Fits(spare) || full[w] {
 			continue
 		}
-		if s.MaxPerWorker > 0 && s.tasksOn(w)+extra[w.ID].tasks >= s.MaxPerWorker {
+		if s.MaxPerWorker > 0 && s.tasksOn(w) >= s.MaxPerWorker {
 			continue
 		}
-		r := rankOf(s, w, free.Minus(size))
+		r := rankOf(s, w, spare.Minus(size))
 		if chosen == nil || r.before(chosenRank) {
 			chosen, chosenRank = w, r
 		}
@@ -121,12 +121,6 @@
 	return chosen
 }
 
-// taken is room that a plan takes from a worker.
-type taken struct {
-	size  task.Size
-	tasks int
-}
-
 // placeRank orders workers for a task, best first.
 type placeRank struct {
 	far, cold bool
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -136,10 +136,10 @@
 		return
 	}
 	c.stale = false
-	held := map[string]task.Size{}
+	c.beginLook()
 	gangsHeld := 0
 	steps := c.waiting(now)
-	c.book(now, steps, held)
+	c.book(now, steps)
 	lateAsking := countLateAsking(now, steps)
 	for _, r := range c.inTurn(now, steps) {
 		s, queue := r.step, r.queue
@@ -160,16 +160,24 @@
 			continue
 		}
 		if !s.Gang {
-			c.placeTasks(now, s, queue, held)
+			c.placeTasks(now, s, queue)
 			continue
 		}
-		if !c.placeGang(now, s, queue, held) && gangsHeld < c.maxGangsHeld() {
+		if !c.placeGang(now, s, queue) && gangsHeld < c.maxGangsHeld() {
 			gangsHeld++
-			c.holdRoom(now, s, queue, held)
+			c.holdRoom(now, s, queue)
 		}
 	}
 }
 
+// beginLook forgets what the last look kept.
+func (c *Cell) beginLook() {
+	c.isByRoom = false
+	for _, w := range c.order {
+		w.held = task.Size{}
+	}
+}
+
 // inTurn returns the steps that are looked at this time: the first in the order of service,
 // and of the others those that were just answered, and some more, each time the next. A
 // backlog costs no more than this, and all of it comes to its turn.
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -154,33 +153,71 @@
 	return room
 }
 
-// unasked lists workers that no question about a step has named yet, those with most
-// room first. Of a large cell it looks at a part, so that a question costs no more than in
-// a small cell. Each question begins at another worker, so that steps that wait for their
+// alike is a group of workers that are alike in the part that is free.
+type alike struct {
+	workers []*worker
+	// most is the most processors that one of them has free, in thousandths.
+	most int64
+}
+
+// unasked lists workers that no question about a step has named yet, those with most room
+// first. Of a large cell it looks at a part, so that a question costs no more than in a
+// small cell. Each question begins at another worker, so that steps that wait for their
 // answers at the same time don't all count on the same room.
 func (c *Cell) unasked(s *step, queue workload.Queue) []*worker {
-	if len(c.order) == 0 {
-		return nil
-	}
-	first := c.lookedAt % len(c.order)
+	return c.unaskedWith(s, queue, 0, (*worker).announced)
+}
+
+// unaskedWithRoom is unasked for workers that may get a task of the step now.
+func (c *Cell) unaskedWithRoom(now time.Duration, s *step, queue workload.Queue) []*worker {
+	room := s.Room()
+	return c.unaskedWith(s, queue, room.Processors, func(w *worker) bool { return room.Fits(w.spare()) && c.usable(now, w) })
+}
+
+// unaskedWith is unasked for workers that have some processors free and may be named.
+func (c *Cell) unaskedWith(s *step, queue workload.Queue, processors int64, may func(w *worker) bool) []*worker {
+	c.sortByRoom()
+	first := c.lookedAt
 	c.lookedAt += maxNamed
 	var list []*worker
-	for i := range c.order {
-		if len(list) == maxLookedAt {
-			break
+	for _, group := range c.byRoom {
+		if group.most < processors {
+			continue
 		}
-		w := c.order[(first+i)%len(c.order)]
-		if w.announced() && serves(s, queue, w) && !s.tickets.asked[w.ID] && s.Room().Fits(w.Capacity) {
+		for i := range group.workers {
+			w := group.workers[(first+i)%len(group.workers)]
+			if !may(w) || !serves(s, queue, w) || s.tickets.asked[w.ID] || !s.Room().Fits(w.Capacity) {
+				continue
+			}
 			list = append(list, w)
+			if len(list) == maxLookedAt {
+				return list
+			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(b.roomStep(), a.roomStep()) })
 	return list
 }
 
+// sortByRoom puts the workers in groups of those that are alike in the part that is free,
+// those with most room first, unless the present look has done so.
+func (c *Cell) sortByRoom() {
+	if c.isByRoom {
+		return
+	}
+	c.isByRoom = true
+	for g := range c.byRoom {
+		c.byRoom[g] = alike{workers: c.byRoom[g].workers[:0]}
+	}
+	for _, w := range c.order {
+		group := &c.byRoom[roomSteps-min(roomSteps, max(0, w.roomStep()))]
+		group.workers = append(group.workers, w)
+		group.most = max(group.most, w.spare().Processors)
+	}
+}
+
 // roomStep is the part of a worker that is free, in roomSteps.
 func (w *worker) roomStep() int64 {
-	return roomSteps * w.free().Processors / max(1, w.Capacity.Processors)
+	return roomSteps * w.spare().Processors / max(1, w.Capacity.Processors)
 }
 
 // ask hands out a question about a step unless one is under way.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -31,8 +31,9 @@
 type worker struct {
 	workload.Worker
 	runs map[runKey]*run
-	// used is the room of runs.
-	used task.Size
+	// used is the room of runs, held the room that gangs keep from the steps after them,
+	// in the present look at what waits.
+	used, held task.Size
 	// gone tells that the worker is no longer announced.
 	gone bool
 	// heard is when the report that was last answered was asked for; 0 is never.
@@ -61,6 +62,9 @@
 // free returns the room that is left.
 func (w *worker) free() task.Size { return w.Capacity.Minus(w.used) }
 
+// spare returns the room that a step may take.
+func (w *worker) spare() task.Size { return w.free().Minus(w.held) }
+
 func (w *worker) add(r *run) {
 	w.runs[runKey{r.id, r.number}] = r
 	w.used = w.used.Plus(r.size)
