cell: a renewal of tickets covers good workers that are busy

In a full cell the tasks of a step start one by one as room appears.

The question names the good workers without room as well, each of which costs 1 ms more, so that the next task starts as soon as there is room. The test needs 10 questions for 10 tasks before, 2 at most now.

--- a/cell/place.go
+++ b/cell/place.go
@@ -76,27 +76,35 @@
 		}
 		w := best(s, allowed, nil)
 		if w == nil {
-			if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
-				return
-			}
-			c.askMore(now, s, queue, slices.DeleteFunc(slices.Clone(list), func(w *worker) bool {
-				return c.valid(now, s, w) || s.fitting(w) == 0
-			}))
+			c.askMore(now, s, queue, list)
 			return
 		}
 		c.place(now, s, t, w, t.run+1)
 	}
 }
 
-// askMore asks for new tickets of good workers, or else about workers that were
-// never named and have room.
+// askMore asks for new tickets of good workers if one of them has room, or else about
+// workers that were never named and have room. The question also names good ones without
+// room: a task starts there as soon as another ends, while the ticket holds.
 func (c *Cell) askMore(now time.Duration, s *step, queue workload.Queue, good []*worker) {
-	share := 1.0
-	if len(good) == 0 {
-		good = c.unaskedWithRoom(now, s, queue)
-		share = c.goodShares.of(queue.Name)
+	if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
+		return
 	}
-	c.ask(now, s, queue, c.enough(now, s, queue, good, share))
+	var roomy, busy []*worker
+	for _, w := range good {
+		switch {
+		case c.valid(now, s, w):
+		case s.fitting(w) > 0:
+			roomy = append(roomy, w)
+		default:
+			busy = append(busy, w)
+		}
+	}
+	if len(roomy) > 0 {
+		c.ask(now, s, queue, c.enough(now, s, queue, append(roomy, busy...), 1))
+		return
+	}
+	c.ask(now, s, queue, c.enough(now, s, queue, c.unaskedWithRoom(now, s, queue), c.goodShares.of(queue.Name)))
 }
 
 // best returns the worker on which a task of the step leaves least room, of those
--- a/cell/tickets_test.go
+++ b/cell/tickets_test.go
@@ -1,10 +1,12 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -156,3 +158,33 @@
 	w.advise(func(string) bool { return true })
 	c.Assert(w.runningAll(), qt.Equals, 1)
 }
+
+// Small tasks end one after the other in a full cell. One question keeps tickets for all
+// workers that may run a step, not only for the one that has room at the moment.
+func TestTicketsCoverWorkersThatAreBusy(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(10)
+	w.submit(job(id(1), "Plain", 50, func(s *workload.Step) { s.Estimate = 0 }))
+	w.submit(job(id(2), "Advised", 10, nil))
+	w.advise(all)
+	w.pass(3 * second)
+	questions := 0
+	for n := range 10 {
+		f := w.workers[fmt.Sprintf("w%d", n)]
+		f.end(f.running[0].Task, f.running[0].Run, cell.EndedDone)
+		w.now += 100 * ms
+		w.reportAll()
+		questions += len(w.questions)
+		w.advise(all)
+	}
+	started := 0
+	for _, f := range w.workers {
+		for _, r := range f.running {
+			if r.Task.Job == id(2) {
+				started++
+			}
+		}
+	}
+	c.Assert(started, qt.Equals, 10, qt.Commentf("%d questions", questions))
+	c.Assert(questions <= 2, qt.IsTrue, qt.Commentf("%d questions", questions))
+}
