cell: a gang asks about further workers once these may help

A gang without room among the good workers that it knew asked about others as soon as all of these, were they good, had room.

The likely part of them counts, less what other gangs keep, and the question names the known good workers with room first, whose tickets lapse otherwise. After 2 s without an answer a gang asks all the same.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -19,6 +19,15 @@
 // maxGangsHeld is how many gangs at once may keep free room from others.
 func (c *Cell) maxGangsHeld() int { return max(minGangsHeld, len(c.order)/workersPerGangHeld) }
 
+const (
+	// widenRoom is for how many times the tasks that lack room the likely good ones among
+	// the workers of a question should have it: others take some of it until the answer.
+	widenRoom = 2
+	// widenPause is after which time a gang asks about further workers though these have
+	// too little room: it can't wait for ever for those that it knows.
+	widenPause = 2 * time.Second
+)
+
 // bookingRest is how long room stays booked after the tickets have come.
 const bookingRest = 200 * time.Millisecond
 
@@ -87,21 +96,49 @@
 		c.ask(now, s, queue, spareFor(s, plan, good))
 		return
 	}
-	unasked := c.unaskedWithRoom(now, s, queue)
-	if len(fill(s, append(slices.Clone(good), unasked...))) == len(s.tasks) {
-		c.ask(now, s, queue, append(c.enough(now, s, queue, unasked, c.goodShares.of(queue.Name)), good...))
+	c.widenGang(now, s, queue, good)
+}
+
+// widenGang asks about workers that were never named, once those of them that are likely
+// good have room for the tasks for which the good ones have none. The question also names the
+// good ones with room, whose tickets may have lapsed, so that the gang can start on its
+// answer.
+func (c *Cell) widenGang(now time.Duration, s *step, queue workload.Queue, good []*worker) {
+	planned := distinct(fill(s, good))
+	lacking := float64(len(s.tasks))
+	for _, w := range planned {
+		lacking -= float64(s.fitting(w))
+	}
+	share := c.goodShares.of(queue.Name)
+	room := 0.0
+	named := planned
+	for _, w := range c.unaskedWithRoom(now, s, queue) {
+		if room < widenRoom*lacking {
+			named = append(named, w)
+		}
+		room += share * float64(s.fitting(w))
+	}
+	if len(named) == len(planned) || room < lacking && now-s.tickets.answered < widenPause {
+		return
 	}
+	c.ask(now, s, queue, named)
 }
 
-// spareFor returns the workers of a plan, and half as many others with room for a task, so
-// that a worker that fails meanwhile does not cost another question.
-func spareFor(s *step, plan, good []*worker) []*worker {
-	var named []*worker
+// distinct returns the workers of a plan, each once.
+func distinct(plan []*worker) []*worker {
+	var workers []*worker
 	for _, w := range plan {
-		if !slices.Contains(named, w) {
-			named = append(named, w)
+		if !slices.Contains(workers, w) {
+			workers = append(workers, w)
 		}
 	}
+	return workers
+}
+
+// spareFor returns the workers of a plan, and half as many others with room for a task, so
+// that a worker that fails meanwhile does not cost another question.
+func spareFor(s *step, plan, good []*worker) []*worker {
+	named := distinct(plan)
 	spare := len(named)/2 + 1
 	for _, w := range good {
 		if spare == 0 {
