breakdown: lost jobs by queue, size, zone, second and phase, and the worst windows

Cause: the report told phases by queue only, so that the next change could not be chosen by what is lost where. It now says what became of each job (done, late, failed, refused, unanswered, open, untraced), in which phase a missed one was lost, and for the worst windows of 2 s what the lines tell of owners, store, hosts, workers, carriers, configurations and waves. Phases follow the task that ended last back to the first call. The fields aim_ms, work_s, payoff, sent_ms and unheard_ms are read where lines have them. Malformed lines and ones that are too long are counted and the first ten quoted; a long line ended the whole report before.

Ruled out: taking the job's final line for what the caller saw. Ruled out: a silence from 3 s of the clock on as lost lines: the load is told each 2 s, which may be 3 such seconds.

--- /dev/null
+++ b/breakdown/line_test.go
@@ -0,0 +1,74 @@
+package breakdown_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/breakdown"
+)
+
+func TestMalformedLinesAreCountedAndNamed(t *testing.T) {
+	report := read(t,
+		"a report of something else",
+		row(0, "front: owner of the cell", `"fence":1`),
+		`  1.5 e1 {"msg":"cell: run en{"msg":"cell: run ended"`,
+		`{"time":"2026-12-04T03:00:00Z"}`,
+		`{"msg":"front: stopped"}`,
+		`{"msg":"`+strings.Repeat("x", 200_000)+`"}`,
+		`{"level":"warning","msg":"lines: dropped","count":7}`,
+		row(100, "front: stopped", `"x":1`),
+	)
+	qt.Assert(t, report.Lines.Read, qt.Equals, 2)
+	qt.Assert(t, report.Lines.Foreign, qt.Equals, 1)
+	qt.Assert(t, report.Lines.Malformed, qt.Equals, 4)
+	qt.Assert(t, report.Lines.Dropped, qt.Equals, 7)
+	qt.Assert(t, report.Lines.Named, qt.HasLen, 4)
+	qt.Assert(t, report.Lines.Named[0], qt.Equals, `3: 1.5 e1 {"msg":"cell: run en{"msg":"cell: run ended"`)
+	qt.Assert(t, strings.HasPrefix(report.Lines.Named[3], `6: {"msg":"xxx`), qt.IsTrue)
+}
+
+func TestFewMalformedLinesAreNamed(t *testing.T) {
+	report := read(t, strings.Repeat("{\n", 1000))
+	qt.Assert(t, report.Lines.Malformed, qt.Equals, 1000)
+	qt.Assert(t, report.Lines.Named, qt.HasLen, 10)
+}
+
+func TestReadTellsErrors(t *testing.T) {
+	_, err := breakdown.Read(iotest.ErrReader(errors.New("disk gone")))
+	qt.Assert(t, err, qt.ErrorMatches, "log: disk gone")
+}
+
+func TestGaps(t *testing.T) {
+	rows := append(job("uncalled", "")[:1], job("unsubmitted", "")[1:]...)
+	rows = append(rows, job("unrun", "")[:3]...)
+	rows = append(rows, job("unrun", "")[4], job("unqueued", "")[2])
+	rows = append(rows, row(9000, "front: stopped", `"x":1`))
+	gaps := read(t, rows...).Gaps
+	qt.Assert(t, gaps, qt.DeepEquals, breakdown.Gaps{
+		Unqueued: 1, Uncalled: 1, Unsubmitted: 1, Unrun: 1, Aimless: 3, Unweighed: 3, Zoneless: 2,
+		Silent: []breakdown.Silence{{From: 3 * time.Second, To: 8 * time.Second}},
+	})
+}
+
+// Reading must take time and memory in proportion to the lines.
+func TestReadIsLinear(t *testing.T) {
+	allocations := func(jobs int) float64 {
+		var rows []string
+		for i := range jobs {
+			rows = append(rows, job(fmt.Sprint("j", i), "")...)
+		}
+		text := strings.Join(rows, "\n")
+		return testing.AllocsPerRun(3, func() {
+			_, err := breakdown.Read(strings.NewReader(text))
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	few, many := allocations(500), allocations(4000)
+	qt.Assert(t, many/few < 9, qt.IsTrue, qt.Commentf("%v allocations for 500 jobs, %v for 4000", few, many))
+}
--- a/breakdown/takeover.go
+++ b/breakdown/takeover.go
@@ -44,7 +44,8 @@
 	return &takeovers{begun: map[string]takeover{}, gaps: Takeovers{}}
 }
 
-func (t *takeovers) take(l line) {
+// take adds a line. If it ends a time without an owner, that is returned.
+func (t *takeovers) take(l line) (time.Duration, bool) {
 	switch l.Message {
 	case "front: taking the cell":
 		// The first owner of a cell takes it from nobody.
@@ -55,10 +56,13 @@
 		delete(t.begun, l.Host)
 	case "scheduler: recovered":
 		if b, ok := t.begun[l.Host]; ok {
-			t.gaps[b.cause] = append(t.gaps[b.cause], l.Time.Sub(b.last))
+			gap := l.Time.Sub(b.last)
+			t.gaps[b.cause] = append(t.gaps[b.cause], gap)
 			delete(t.begun, l.Host)
+			return gap, true
 		}
 	}
+	return 0, false
 }
 
 func begin(l line) takeover {
--- /dev/null
+++ b/breakdown/times.go
@@ -0,0 +1,33 @@
+package breakdown
+
+import (
+	"slices"
+	"time"
+)
+
+// first returns the earlier of two times, of which the first may be unknown.
+func first(known, at time.Time) time.Time {
+	if known.IsZero() || at.Before(known) {
+		return at
+	}
+	return known
+}
+
+// last returns the later of two times.
+func last(known, at time.Time) time.Time {
+	if at.After(known) {
+		return at
+	}
+	return known
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// percentile returns the time below which a share of times are.
+func percentile(times []time.Duration, share float64) time.Duration {
+	sorted := slices.Sorted(slices.Values(times))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
