breakdown: runs that a new owner took over don't count as waits for room

Cause: a new owner restores a run with its own clock, so that the age of the run begins at the recovery and the time before it looked like a wait for room. Placements at or before `scheduler: recovered` of the same fence are told apart as the phase Takeover.

--- a/breakdown/breakdown.go
+++ b/breakdown/breakdown.go
@@ -28,6 +28,8 @@
 	watch     *watch
 	// zones holds the availability zone of each host.
 	zones map[string]string
+	// recovered holds when each tenure began to decide, by its fence.
+	recovered map[int64]time.Time
 	// seconds holds those of the clock in which there is a line.
 	seconds map[int64]bool
 	// unqueued counts the jobs without a queue.
@@ -42,7 +44,7 @@
 	r := &reading{
 		scanner: scanner{input: bufio.NewReaderSize(input, maxLine)},
 		tracks:  map[string]*track{}, takeovers: newTakeovers(), watch: newWatch(),
-		zones: map[string]string{}, seconds: map[int64]bool{},
+		zones: map[string]string{}, recovered: map[int64]time.Time{}, seconds: map[int64]bool{},
 	}
 	for {
 		l, err := r.next()
@@ -62,6 +64,9 @@
 		r.zones[l.Host] = l.Zone
 	}
 	r.watch.take(l)
+	if l.Message == "scheduler: recovered" {
+		r.recovered[l.Fence] = l.Time
+	}
 	if gap, ok := r.takeovers.take(l); ok {
 		r.watch.span(l, OwnerChanged, "no owner until it had recovered", l.Host, gap)
 	}
@@ -73,7 +78,7 @@
 		t = newTrack(l.Job)
 		r.tracks[l.Job] = t
 	}
-	t.take(l, r.watch.unheard(l))
+	t.take(l, r.watch.unheard(l), r.recovered[l.Fence])
 }
 
 func (r *reading) report() Report {
--- a/breakdown/job.go
+++ b/breakdown/job.go
@@ -52,6 +52,9 @@
 	// end was heard of it may have been.
 	placed, begun, done time.Time
 	sent, unheard       time.Duration
+	// restored tells that placed is when a new owner took the run over, whose age begins
+	// there; lines have milliseconds.
+	restored bool
 }
 
 func newTrack(id string) *track {
@@ -61,8 +64,9 @@
 	}
 }
 
-// take adds a line. unheard is how long the line's worker had not been heard of.
-func (t *track) take(l line, unheard time.Duration) {
+// take adds a line. unheard is how long the line's worker had not been heard of; recovered
+// is when the tenure of the line began, or zero.
+func (t *track) take(l line, unheard time.Duration, recovered time.Time) {
 	t.note(l)
 	switch {
 	case l.Message == "intake: call answered":
@@ -77,12 +81,12 @@
 	case l.Message == "cell: advice":
 		t.advise(l)
 	case l.Message == "cell: run ended":
-		t.end(l, unheard)
+		t.end(l, unheard, recovered)
 	case l.Message == "cell: run lost":
 		t.Runs["Lost"]++
-		t.place(l)
+		t.place(l, recovered)
 	case l.Message == "cell: run withdrawn", strings.HasPrefix(l.Message, "cell: start "):
-		t.place(l)
+		t.place(l, recovered)
 	case strings.HasPrefix(l.Message, "cell: job "):
 		t.state, t.over = workload.State(l.Message[len("cell: job "):]), l.Time
 	}
@@ -150,16 +154,19 @@
 }
 
 // place notes a placement, if the line has its age.
-func (t *track) place(l line) {
-	if l.AgeMS > 0 {
-		k := t.task(l)
-		k.placed = first(k.placed, l.Time.Add(-milliseconds(l.AgeMS)))
+func (t *track) place(l line, recovered time.Time) {
+	if l.AgeMS == 0 {
+		return
+	}
+	k, at := t.task(l), l.Time.Add(-milliseconds(l.AgeMS))
+	if k.placed.IsZero() || at.Before(k.placed) {
+		k.placed, k.restored = at, !at.After(recovered.Add(time.Millisecond))
 	}
 }
 
-func (t *track) end(l line, unheard time.Duration) {
+func (t *track) end(l line, unheard time.Duration, recovered time.Time) {
 	t.Runs[l.Why]++
-	t.place(l)
+	t.place(l, recovered)
 	k := t.task(l)
 	if l.Why != "Done" || l.Time.Before(k.done) {
 		return
--- a/breakdown/path.go
+++ b/breakdown/path.go
@@ -129,6 +129,10 @@
 		advised = k.placed
 	}
 	t.spend(Advice, ready, advised)
+	if k.restored {
+		t.spend(Takeover, last(ready, advised), k.placed)
+		return
+	}
 	t.spend(Room, last(ready, advised), k.placed)
 }
 
--- a/breakdown/phase.go
+++ b/breakdown/phase.go
@@ -12,6 +12,9 @@
 	Advice Phase = "Advice"
 	// Room is from then until a task of the step is first placed.
 	Room Phase = "Room"
+	// Takeover takes the place of Room for a task whose run a new owner took over: until
+	// that has recovered. How much of it the run was under way is not in the logs.
+	Takeover Phase = "Takeover"
 	// Record is from there until its order may leave, as the job is recorded.
 	Record Phase = "Record"
 	// Running is the last run of a task, including its start.
@@ -26,4 +29,4 @@
 )
 
 // Phases lists the phases in their order.
-var Phases = []Phase{Acceptance, Advice, Room, Record, Running, RunAgain, Unheard, Untold}
+var Phases = []Phase{Acceptance, Advice, Room, Takeover, Record, Running, RunAgain, Unheard, Untold}
--- a/breakdown/phase_test.go
+++ b/breakdown/phase_test.go
@@ -42,6 +42,7 @@
 	const ms = time.Millisecond
 	type times = map[breakdown.Phase]time.Duration
 	sound := times{breakdown.Acceptance: 200 * ms, breakdown.Advice: 500 * ms, breakdown.Room: 500 * ms, breakdown.Running: 1000 * ms}
+	// with changes the times of phases; below 0 is none.
 	with := func(changes times) times {
 		all := times{}
 		for p, d := range sound {
@@ -49,6 +50,9 @@
 		}
 		for p, d := range changes {
 			all[p] = d
+			if d < 0 {
+				delete(all, p)
+			}
 		}
 		return all
 	}
@@ -79,6 +83,11 @@
 			append([]string{row(1900, "cell: run ended", `"job":"a","task":"a.0.0.0","why":"Broken","age_ms":300`)}, job("a", "")...),
 			with(times{breakdown.Room: 100 * ms, breakdown.RunAgain: 400 * ms}),
 		},
+		{
+			"Takeover",
+			append([]string{row(2001, "scheduler: recovered", `"fence":9`)}, job("a", `,"fence":9`)...),
+			with(times{breakdown.Takeover: 500 * ms, breakdown.Room: -1}),
+		},
 		{
 			"SecondStep",
 			append(job("a", "")[:4],
