breakdown: a placement of a second run is not the end of the wait for room

Cause: where the lines of a first run are missing, the placement of a later one looked like the first.

--- a/breakdown/job.go
+++ b/breakdown/job.go
@@ -52,6 +52,8 @@
 	// end was heard of it may have been.
 	placed, begun, done time.Time
 	sent, unheard       time.Duration
+	// run is the number of the run that was first placed, 0 if its line has none.
+	run int
 	// restored tells that placed is when a new owner took the run over, whose age begins
 	// there; lines have milliseconds.
 	restored bool
@@ -160,7 +162,7 @@
 	}
 	k, at := t.task(l), l.Time.Add(-milliseconds(l.AgeMS))
 	if k.placed.IsZero() || at.Before(k.placed) {
-		k.placed, k.restored = at, !at.After(recovered.Add(time.Millisecond))
+		k.run, k.placed, k.restored = l.Run, at, !at.After(recovered.Add(time.Millisecond))
 	}
 }
 
--- a/breakdown/line.go
+++ b/breakdown/line.go
@@ -39,6 +39,8 @@
 	// Version is that of a configuration; Count is the number of dropped lines.
 	Version int64 `json:"version"`
 	Count   int   `json:"count"`
+	// Run is the number of a task's run, from 1.
+	Run int `json:"run"`
 	// Owner, Linked and Fence are of a takeover.
 	Owner  string `json:"owner"`
 	Linked bool   `json:"linked"`
--- a/breakdown/path.go
+++ b/breakdown/path.go
@@ -129,11 +129,15 @@
 		advised = k.placed
 	}
 	t.spend(Advice, ready, advised)
-	if k.restored {
-		t.spend(Takeover, last(ready, advised), k.placed)
-		return
-	}
-	t.spend(Room, last(ready, advised), k.placed)
+	wait := Room
+	switch {
+	case k.restored:
+		wait = Takeover
+	case k.run > 1:
+		// The lines of the earlier runs are missing.
+		wait = Untold
+	}
+	t.spend(wait, last(ready, advised), k.placed)
 }
 
 // spend adds the time of a phase. The clocks of hosts differ, so that a phase may seem
--- a/breakdown/phase_test.go
+++ b/breakdown/phase_test.go
@@ -101,6 +101,11 @@
 			append(job("a", "")[:3], job("a", "")[4]),
 			times{breakdown.Acceptance: 200 * ms, breakdown.Advice: 500 * ms, breakdown.Untold: 1500 * ms},
 		},
+		{
+			"UntoldBeforeASecondRun",
+			job("a", `,"run":2`),
+			with(times{breakdown.Untold: 500 * ms, breakdown.Room: -1}),
+		},
 		{
 			"UntoldWithoutASubmission",
 			job("a", "")[1:],
