breakdown: a plot of what was served and lost in each second

Logs without a collector's seconds begin with the second of the first call, so that no window is before the start.

--- a/breakdown/breakdown.go
+++ b/breakdown/breakdown.go
@@ -82,6 +82,7 @@
 }
 
 func (r *reading) report() Report {
+	r.begin()
 	queues := r.byQueue()
 	report := Report{Takeovers: r.takeovers.gaps, Lines: r.lines}
 	for _, tracks := range queues {
@@ -104,6 +105,20 @@
 	return report
 }
 
+// begin lets the logs begin with the second of the first call, unless their collector has
+// seconds of its own.
+func (r *reading) begin() {
+	if r.collected {
+		return
+	}
+	for _, t := range r.tracks {
+		if !t.first.IsZero() {
+			r.zero = first(r.zero, t.first)
+		}
+	}
+	r.zero = r.zero.Truncate(time.Second)
+}
+
 // byQueue finishes the tracks and puts them together by their queues. Jobs whose queue is
 // not known have neither a call nor a submission in the logs.
 func (r *reading) byQueue() map[string][]*track {
--- a/breakdown/happening.go
+++ b/breakdown/happening.go
@@ -27,6 +27,7 @@
 	WorkerDrains         Kind = "WorkerDrains"
 	CarrierPassedOver    Kind = "CarrierPassedOver"
 	ConfigurationChanged Kind = "ConfigurationChanged"
+	AdviceMissing        Kind = "AdviceMissing"
 	WaveOfUpkeep         Kind = "WaveOfUpkeep"
 )
 
@@ -80,6 +81,8 @@
 		w.takeConfiguration(l)
 	case "front: settings changed":
 		w.moment(l, ConfigurationChanged, "settings changed", l.Host)
+	case "front: advice not given":
+		w.moment(l, AdviceMissing, "not given", l.Host)
 	case "front: wave of upkeep":
 		w.moment(l, WaveOfUpkeep, "begins", l.Host)
 	case "carrier: passed over":
--- /dev/null
+++ b/breakdown/plot.go
@@ -0,0 +1,151 @@
+package breakdown
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	svg "github.com/ajstarks/svgo"
+	"github.com/juju/errors"
+)
+
+// Measures of a plot, in pixels.
+const (
+	plotWidth  = 1100
+	plotHeight = 420
+	plotMargin = 60
+	// labelHeight is that of a line of text; labelLines are above the bars.
+	labelHeight = 13
+	labelLines  = 4
+)
+
+// Styles of a plot.
+const (
+	servedStyle = "fill:#4c956c"
+	lostStyle   = "fill:#c8553d"
+	windowStyle = "fill:#f4d58d;fill-opacity:0.6"
+	textStyle   = "font-family:sans-serif;font-size:11px"
+	axisStyle   = "stroke:#333333"
+)
+
+// bar is what became of the jobs of one second.
+type bar struct {
+	second       int
+	served, lost float64
+}
+
+// plot is a drawing in the making.
+type plot struct {
+	*svg.SVG
+	// first and seconds are the time that is drawn, top the highest bar.
+	first, seconds int
+	top            float64
+}
+
+// Plot draws as SVG what was served and lost in each second of first calls, with windows and
+// the kinds of their events. It counts payoff if the logs have it, or else jobs. Untraced
+// and cancelled jobs are left out.
+func (r Report) Plot(output io.Writer, windows []Window) error {
+	var drawn bytes.Buffer
+	bars, unit := r.bars()
+	p := &plot{SVG: svg.New(&drawn)}
+	p.scale(bars)
+	p.Start(plotWidth, plotHeight)
+	for i, w := range windows {
+		p.window(w, i)
+	}
+	for _, b := range bars {
+		p.bar(b)
+	}
+	p.axes(unit)
+	p.End()
+	_, err := output.Write(drawn.Bytes())
+	return errors.Annotate(err, "plot")
+}
+
+// bars sums up the jobs by second, in the order of time, and returns the unit.
+func (r Report) bars() ([]bar, string) {
+	unit, worth := "jobs", func(Job) float64 { return 1 }
+	for _, j := range r.Jobs {
+		if j.Payoff > 0 {
+			unit, worth = "payoff", func(j Job) float64 { return j.Payoff }
+		}
+	}
+	var bars []bar
+	for _, j := range r.Jobs {
+		if len(bars) == 0 || bars[len(bars)-1].second != j.second() {
+			bars = append(bars, bar{second: j.second()})
+		}
+		b := &bars[len(bars)-1]
+		switch {
+		case j.Result == Done:
+			b.served += worth(j)
+		case j.Result.Missed():
+			b.lost += worth(j)
+		}
+	}
+	return bars, unit
+}
+
+func (p *plot) scale(bars []bar) {
+	p.top = 1
+	for _, b := range bars {
+		p.top = max(p.top, b.served+b.lost)
+	}
+	if len(bars) > 0 {
+		p.first = bars[0].second
+		p.seconds = bars[len(bars)-1].second + 1 - p.first
+	}
+	p.seconds = max(1, p.seconds)
+}
+
+// x returns where a second begins.
+func (p *plot) x(second int) int {
+	return plotMargin + (second-p.first)*(plotWidth-2*plotMargin)/p.seconds
+}
+
+// y returns the height of an amount above the axis.
+func (p *plot) y(amount float64) int {
+	return int(amount / p.top * (plotHeight - 2*plotMargin))
+}
+
+func (p *plot) bar(b bar) {
+	x, width, axis := p.x(b.second), max(1, p.x(b.second+1)-p.x(b.second)-1), plotHeight-plotMargin
+	served, lost := p.y(b.served), p.y(b.lost)
+	p.Rect(x, axis-served, width, served, servedStyle)
+	p.Rect(x, axis-served-lost, width, lost, lostStyle)
+}
+
+// window draws a window, and its kinds on a line by its place, so that names of close ones
+// don't overlap.
+func (p *plot) window(w Window, place int) {
+	from := int(w.From / time.Second)
+	x := p.x(from)
+	p.Rect(x, plotMargin, p.x(from+int(WindowLength/time.Second))-x, plotHeight-2*plotMargin, windowStyle)
+	p.Text(x, labelHeight*(place%labelLines+1), fmt.Sprintf("%d: %s", from, strings.Join(w.kinds(), ", ")), textStyle)
+}
+
+// kinds lists the kinds of events of a window.
+func (w Window) kinds() []string {
+	var kinds []string
+	for _, e := range w.Events {
+		if len(kinds) == 0 || kinds[len(kinds)-1] != string(e.Kind) {
+			kinds = append(kinds, string(e.Kind))
+		}
+	}
+	return kinds
+}
+
+func (p *plot) axes(unit string) {
+	axis := plotHeight - plotMargin
+	p.Line(plotMargin, axis, plotWidth-plotMargin, axis, axisStyle)
+	p.Line(plotMargin, plotMargin, plotMargin, axis, axisStyle)
+	p.Text(2, plotMargin, fmt.Sprintf("%.0f", p.top), textStyle)
+	step := max(1, p.seconds/10)
+	for s := p.first; s <= p.first+p.seconds; s += step {
+		p.Text(p.x(s), axis+labelHeight, fmt.Sprint(s), textStyle)
+	}
+	p.Text(plotMargin, axis+3*labelHeight, "second of the first call; "+unit+" served (below) and lost (above); windows in which most was lost", textStyle)
+}
--- /dev/null
+++ b/breakdown/plot_test.go
@@ -0,0 +1,65 @@
+package breakdown_test
+
+import (
+	"bytes"
+	"encoding/xml"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/breakdown"
+)
+
+// element is what is read of an element of a plot.
+type element struct {
+	Height int    `xml:"height,attr"`
+	Style  string `xml:"style,attr"`
+	Text   string `xml:",chardata"`
+}
+
+func draw(t *testing.T, report breakdown.Report) (rects, texts []element) {
+	var drawn bytes.Buffer
+	qt.Assert(t, report.Plot(&drawn, report.Worst(1)), qt.IsNil)
+	var read struct {
+		Rects []element `xml:"rect"`
+		Texts []element `xml:"text"`
+	}
+	qt.Assert(t, xml.Unmarshal(drawn.Bytes(), &read), qt.IsNil)
+	return read.Rects, read.Texts
+}
+
+func TestPlot(t *testing.T) {
+	rows := append(job("a", ""), job("b", "")...)
+	rows = append(rows, call("c", "Unavailable"), row(1200, "cell: worker drains", `"worker":"w"`))
+	rects, texts := draw(t, read(t, rows...))
+	// The window, and of its only second two jobs served and one lost.
+	qt.Assert(t, rects, qt.HasLen, 3)
+	qt.Assert(t, rects[1].Height, qt.Equals, 200)
+	qt.Assert(t, rects[2].Height, qt.Equals, 100)
+	qt.Assert(t, texts[0].Text, qt.Equals, "0: WorkerDrains")
+	qt.Assert(t, strings.Contains(texts[len(texts)-1].Text, "jobs served"), qt.IsTrue)
+
+	rows = append(rows, row(1100, "cell: job submitted", `"job":"a","why":"q","payoff":1`))
+	rows = append(rows, row(1100, "cell: job submitted", `"job":"c","why":"q","payoff":3`))
+	rects, texts = draw(t, read(t, rows...))
+	qt.Assert(t, rects[1].Height, qt.Equals, 75)
+	qt.Assert(t, rects[2].Height, qt.Equals, 225)
+	qt.Assert(t, strings.Contains(texts[len(texts)-1].Text, "payoff served"), qt.IsTrue)
+}
+
+func TestPlotOfNothing(t *testing.T) {
+	rects, _ := draw(t, read(t))
+	qt.Assert(t, rects, qt.HasLen, 0)
+}
+
+// broken is an output that takes nothing.
+type broken struct{ io.Writer }
+
+func (broken) Write([]byte) (int, error) { return 0, errors.New("disk full") }
+
+func TestPlotTellsErrors(t *testing.T) {
+	qt.Assert(t, read(t).Plot(broken{}, nil), qt.ErrorMatches, "plot: disk full")
+}
--- a/breakdown/window_test.go
+++ b/breakdown/window_test.go
@@ -69,6 +69,10 @@
 			[]string{row(10100, "front: configuration in force", `"version":6`), row(10200, "front: configuration in force", `"version":6`)},
 			breakdown.Event{Kind: breakdown.ConfigurationChanged, What: "in force", Count: 1, Subjects: []string{"version 6"}},
 		},
+		{
+			[]string{row(10100, "front: advice not given", `"why":"context canceled"`)},
+			breakdown.Event{Kind: breakdown.AdviceMissing, What: "not given", Count: 1, Subjects: []string{"e1"}},
+		},
 		{
 			[]string{row(10100, "front: wave of upkeep", `"wave":2`)},
 			breakdown.Event{Kind: breakdown.WaveOfUpkeep, What: "begins", Count: 1, Subjects: []string{"e1"}},
--- a/cli/breakdown.go
+++ b/cli/breakdown.go
@@ -8,6 +8,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanillaquay/vanillaquay/breakdown"
 )
 
@@ -15,6 +17,7 @@
 type breakdownCommand struct {
 	Windows int        `default:"5" help:"How many of the worst windows to tell of."`
 	Seconds bool       `help:"Tell of each second, too."`
+	Plot    string     `placeholder:"FILE" help:"Draw what was served and lost in each second, with the worst windows, as SVG."`
 	Logs    []*os.File `arg:"" optional:"" help:"Logs of entry hosts; none is the standard input."`
 }
 
@@ -48,6 +51,12 @@
 	if err != nil {
 		return err
 	}
+	windows := report.Worst(c.Windows)
+	if c.Plot != "" {
+		if err := writePlot(c.Plot, report, windows); err != nil {
+			return err
+		}
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	writeGroups(w, "Queue", report.Groups(breakdown.ByQueue))
 	writeGroups(w, "Size", report.Groups(breakdown.BySize))
@@ -57,11 +66,23 @@
 	}
 	writePhases(w, report.Queues)
 	writeTakeovers(w, report.Takeovers)
-	writeWindows(w, report.Worst(c.Windows))
+	writeWindows(w, windows)
 	writeGaps(w, report)
 	return w.Flush()
 }
 
+func writePlot(name string, r breakdown.Report, windows []breakdown.Window) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Annotate(err, "plot")
+	}
+	defer f.Close()
+	if err := r.Plot(f, windows); err != nil {
+		return err
+	}
+	return errors.Annotate(f.Close(), "plot")
+}
+
 // writeGroups writes what became of the jobs of each group, and where they were lost.
 func writeGroups(w io.Writer, title string, groups []breakdown.Group) {
 	fmt.Fprintf(w, "%s\tJobs", title)
