--- a/breakdown/line.go
+++ b/breakdown/line.go
@@ -95,6 +95,9 @@
 		if err != nil {
 			return line{}, err
 		}
+		if len(text) == 0 {
+			continue
+		}
 		begin := bytes.IndexByte(text, '{')
 		if begin < 0 && !long {
 			s.lines.Foreign++
--- a/breakdown/window.go
+++ b/breakdown/window.go
@@ -43,7 +43,7 @@
 	slices.SortStableFunc(windows, func(a, b Window) int {
 		return cmp.Or(cmp.Compare(b.Forgone, a.Forgone), cmp.Compare(b.Missed(), a.Missed()))
 	})
-	windows = windows[:min(n, len(windows))]
+	windows = windows[:max(0, min(n, len(windows)))]
 	for i := range windows {
 		windows[i].Usual = usual
 		windows[i].Events = r.events(windows[i].From)
--- a/breakdown/window_test.go
+++ b/breakdown/window_test.go
@@ -113,6 +113,7 @@
 	start := row(0, "front: owner of the cell", `"fence":1`)
 	report := read(t, start, refused("a", 500, ""), refused("b", 4500, ""), refused("c", 5500, ""))
 	qt.Assert(t, begins(report.Worst(5)), qt.DeepEquals, []time.Duration{4 * time.Second, 0})
+	qt.Assert(t, report.Worst(-1), qt.HasLen, 0)
 	qt.Assert(t, begins(report.Worst(1)), qt.DeepEquals, []time.Duration{4 * time.Second})
 
 	// What was lost goes before how many, where the logs tell it.
