--- a/cli/breakdown.go
+++ b/cli/breakdown.go
@@ -1,26 +1,34 @@
 package cli
 
 import (
-	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
-	"time"
+	"strings"
+
+	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/breakdown"
 )
 
-// breakdownCommand tells from logs where jobs spent their time.
+// breakdownCommand tells from logs where jobs spent their time and were lost.
 type breakdownCommand struct {
-	Logs []*os.File `arg:"" optional:"" help:"Logs of entry hosts; none is the standard input."`
+	Windows int        `default:"5" help:"How many of the worst windows to tell of."`
+	Seconds bool       `help:"Tell of each second, too."`
+	Plot    string     `placeholder:"FILE" help:"Draw what was served and lost in each second, with the worst windows, as SVG."`
+	Logs    []*os.File `arg:"" optional:"" help:"Logs of entry hosts; none is the standard input."`
 }
 
 // Help implements kong.HelpProvider.
 func (c breakdownCommand) Help() string {
-	return `For each queue: its jobs and runs by how they ended, and the times of each phase
-(median and ninth decile): until the acceptance, until the first advice, until the first
-start for want of room, and at work. Then the takeovers of the cell by their cause, and how
-long it had no owner.
+	return `What became of the jobs by queue, size class (the largest tenth of a queue's jobs by
+work, the next fifth, the rest) and availability zone of the host that was called, with the
+phase in which the others were lost; how long each phase took (median and ninth decile); the
+worst windows of 2 s, by their first calls, and what happened in them; the takeovers of the
+cell by their cause, and how long it had no owner; and last what the logs don't tell.
+
+A job without an objective on its lines is late if it takes twice the median of its queue. An
+open job had not ended at the end of the logs; an untraced one may have ended on a line that
+is missing, and counts as neither done nor missed.
 
 Example:
   cat e1.log e2.log | vanillaquay breakdown`
@@ -31,7 +39,8 @@
 	var inputs []io.Reader
 	for _, f := range c.Logs {
 		defer f.Close()
-		inputs = append(inputs, f)
+		// A file that was cut has no end of its last line.
+		inputs = append(inputs, f, strings.NewReader("\n"))
 	}
 	if len(inputs) == 0 {
 		inputs = append(inputs, os.Stdin)
@@ -40,23 +49,23 @@
 	if err != nil {
 		return err
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprint(w, "Queue\tJobs\tEnded\tRuns")
-	for _, p := range breakdown.Phases {
-		fmt.Fprintf(w, "\t%s", p)
-	}
-	fmt.Fprintln(w)
-	for _, q := range report.Queues {
-		fmt.Fprintf(w, "%s\t%d\t%v\t%v", q.Name, q.Jobs, q.Ended, q.Runs)
-		for _, p := range breakdown.Phases {
-			fmt.Fprintf(w, "\t%s %s", q.Percentile(p, 0.5).Round(time.Millisecond), q.Percentile(p, 0.9).Round(time.Millisecond))
+	windows := report.Worst(c.Windows)
+	if c.Plot != "" {
+		if err := writePlot(c.Plot, report, windows); err != nil {
+			return err
 		}
-		fmt.Fprintln(w)
 	}
-	fmt.Fprintln(w, "\nTakeovers\tNumber\tMedian\tNinth decile\tLongest")
-	for _, c := range breakdown.Causes {
-		t := report.Takeovers
-		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", c, len(t[c]), t.Percentile(c, 0.5), t.Percentile(c, 0.9), t.Percentile(c, 1))
+	return report.WriteText(os.Stdout, windows, c.Seconds)
+}
+
+func writePlot(name string, r breakdown.Report, windows []breakdown.Window) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Annotate(err, "plot")
+	}
+	defer f.Close()
+	if err := r.Plot(f, windows); err != nil {
+		return err
 	}
-	return w.Flush()
+	return errors.Annotate(f.Close(), "plot")
 }
