cell: a wide gang knows enough workers before it waits for room

A gang asks at once until the good workers that it knows would have room for four times its tasks if they were empty, or all are known. The choice of how many workers a question names is made in one place.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -23,6 +23,9 @@
 	// widenRoom is for how many times the tasks that lack room the likely good ones among
 	// the workers of a question should have it: others take some of it until the answer.
 	widenRoom = 2
+	// gangSpread is for how many times its tasks the workers that a gang knows to be good
+	// should have room, were they empty: a cell is three quarters full.
+	gangSpread = 4
 	// widenPause is after which time a gang asks about further workers though these have
 	// too little room: it can't wait for ever for those that it knows.
 	widenPause = 2 * time.Second
@@ -99,31 +102,55 @@
 	c.widenGang(now, s, queue, good)
 }
 
-// widenGang asks about workers that were never named, once those of them that are likely
-// good have room for the tasks for which the good ones have none. The question also names the
-// good ones with room, whose tickets may have lapsed, so that the gang can start on its
-// answer.
+// widenGang asks about workers that were never named: as many as a gang needs to know, or
+// once those that are likely good have room for the tasks for which the good ones have none.
+// The question also names the good ones with room, whose tickets may have lapsed, so that
+// the gang can start on its answer.
 func (c *Cell) widenGang(now time.Duration, s *step, queue workload.Queue, good []*worker) {
 	planned := distinct(fill(s, good))
-	lacking := float64(len(s.tasks))
+	if unknown := gangSpread*len(s.tasks) - s.slots(good); unknown > 0 {
+		c.askOthers(now, s, queue, planned, c.enough(queue, c.unasked(s, queue), c.goodShares.of(queue.Name), unknown, asFloat(s.slotsOn)))
+		return
+	}
+	lacking := len(s.tasks)
 	for _, w := range planned {
-		lacking -= float64(s.fitting(w))
+		lacking -= s.fitting(w)
 	}
-	share := c.goodShares.of(queue.Name)
-	room := 0.0
-	named := planned
-	for _, w := range c.unaskedWithRoom(now, s, queue) {
-		if room < widenRoom*lacking {
-			named = append(named, w)
-		}
-		room += share * float64(s.fitting(w))
+	unasked := c.unaskedWithRoom(now, s, queue)
+	room := 0
+	for _, w := range unasked {
+		room += s.fitting(w)
 	}
-	if len(named) == len(planned) || room < lacking && now-s.tickets.answered < widenPause {
+	share := c.goodShares.of(queue.Name)
+	if share*float64(room) < float64(lacking) && now-s.tickets.answered < widenPause {
 		return
 	}
-	c.ask(now, s, queue, named)
+	c.askOthers(now, s, queue, planned, c.enough(queue, unasked, share, widenRoom*lacking, asFloat(s.fitting)))
 }
 
+func asFloat(count func(w *worker) int) func(w *worker) float64 {
+	return func(w *worker) float64 { return float64(count(w)) }
+}
+
+// askOthers asks about workers that were never named, if there are any, and some others.
+func (c *Cell) askOthers(now time.Duration, s *step, queue workload.Queue, others, unasked []*worker) {
+	if len(unasked) > 0 {
+		c.ask(now, s, queue, append(others, unasked...))
+	}
+}
+
+// slots returns how many tasks of a step some workers could have if they had no other work.
+func (s *step) slots(workers []*worker) int {
+	n := 0
+	for _, w := range workers {
+		n += s.slotsOn(w)
+	}
+	return n
+}
+
+// slotsOn is slots for one worker.
+func (s *step) slotsOn(w *worker) int { return s.fittingIn(w.Capacity) }
+
 // distinct returns the workers of a plan, each once.
 func distinct(plan []*worker) []*worker {
 	var workers []*worker
@@ -170,16 +197,25 @@
 
 // fitting returns how many tasks of a step a worker may get now.
 func (s *step) fitting(w *worker) int {
-	n := len(s.tasks)
-	if room := s.Room(); room != (task.Size{}) {
-		n = int(min(int64(n), room.CountIn(w.spare())))
-	}
+	n := s.fittingIn(w.spare())
 	if s.MaxPerWorker > 0 {
 		n = min(n, s.MaxPerWorker-s.tasksOn(w))
 	}
 	return max(0, n)
 }
 
+// fittingIn returns how many tasks of a step fit some room on one worker.
+func (s *step) fittingIn(room task.Size) int {
+	n := len(s.tasks)
+	if size := s.Room(); size != (task.Size{}) {
+		n = int(min(int64(n), size.CountIn(room)))
+	}
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker)
+	}
+	return n
+}
+
 // holdRoom keeps what a gang could use already from the steps after it, so that
 // small tasks can't starve it. For the tasks that do not fit yet it keeps room free
 // on the workers that lack least, since small tasks would take each part of it
--- a/cell/place.go
+++ b/cell/place.go
@@ -90,6 +90,7 @@
 	if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
 		return
 	}
+	wanted := namedRoom * s.waitingTasks(now)
 	var roomy, busy []*worker
 	for _, w := range good {
 		switch {
@@ -101,10 +102,10 @@
 		}
 	}
 	if len(roomy) > 0 {
-		c.ask(now, s, queue, c.enough(now, s, queue, append(roomy, busy...), 1))
+		c.ask(now, s, queue, c.enough(queue, append(roomy, busy...), 1, wanted, s.likelyRoom))
 		return
 	}
-	c.ask(now, s, queue, c.enough(now, s, queue, c.unaskedWithRoom(now, s, queue), c.goodShares.of(queue.Name)))
+	c.ask(now, s, queue, c.enough(queue, c.unaskedWithRoom(now, s, queue), c.goodShares.of(queue.Name), wanted, s.likelyRoom))
 }
 
 // best returns the worker on which a task of the step leaves least room, of those
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -119,38 +119,40 @@
 // askFirst asks about workers that could ever run a step, those with most room first.
 func (c *Cell) askFirst(now time.Duration, s *step, queue workload.Queue) {
 	if !s.tickets.waitsForAnswer(now) {
-		c.ask(now, s, queue, c.enough(now, s, queue, c.unasked(s, queue), c.goodShares.of(queue.Name)))
+		c.ask(now, s, queue, c.enough(queue, c.unasked(s, queue), c.goodShares.of(queue.Name), namedRoom*s.waitingTasks(now), s.likelyRoom))
 	}
 }
 
-// enough returns the first workers of a list that will likely have room for the tasks of
-// a step that wait, if the given part of them may run it. A question takes the service
-// longer the more workers it names, and all of a host's questions wait for one another.
-func (c *Cell) enough(now time.Duration, s *step, queue workload.Queue, list []*worker, goodShare float64) []*worker {
+// enough returns the first workers of a list that will likely have a number of places for
+// tasks, if the given part of them may run the step and each has what places tells. A
+// question takes the service longer the more workers it names, and all of a host's questions
+// wait for one another.
+func (c *Cell) enough(queue workload.Queue, list []*worker, goodShare float64, wanted int, places func(w *worker) float64) []*worker {
 	cheap := queue.Advice.Workers(time.Duration(namingShare * float64(queue.Advice.Decide)))
-	wanted := 0
-	for _, t := range s.tasks {
-		if t.waits(now) {
-			wanted += namedRoom
-		}
-	}
 	room := 0.0
 	for i, w := range list {
 		if i >= cheap && room >= float64(wanted) {
 			return list[:i]
 		}
-		room += goodShare * s.likelyRoom(w)
+		room += goodShare * places(w)
 	}
 	return list
 }
 
+// waitingTasks counts the tasks that wait.
+func (s *step) waitingTasks(now time.Duration) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // likelyRoom returns for how many tasks of a step a worker will likely have room soon.
 func (s *step) likelyRoom(w *worker) float64 {
-	room := max(float64(s.Room().CountIn(w.free())), float64(s.Room().CountIn(w.Capacity))/busyRoom)
-	if s.MaxPerWorker > 0 {
-		room = min(room, float64(s.MaxPerWorker))
-	}
-	return room
+	return max(float64(s.fittingIn(w.spare())), float64(s.slotsOn(w))/busyRoom)
 }
 
 // alike is a group of workers that are alike in the part that is free.
