scheduler: a benchmark of a busy cell's transactions

What the records of an owner cost was known from its loop only (0.1 s of 2 s). The benchmark plays 20 changes a transaction among 600 and 1,500 jobs of 3 to 60 tasks and counts rows and bytes besides.

--- /dev/null
+++ b/scheduler/busy_test.go
@@ -0,0 +1,161 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/scheduler"
+	"github.com/vanillaquay/vanillaquay/task"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+const (
+	// busyChanges is the number of jobs that change between two transactions of a busy
+	// large cell, of which busyTurnover end and as many are new: 680 starts a second,
+	// 40 transactions.
+	busyChanges  = 20
+	busyTurnover = 2
+	// busyFinished is the number of final states that such a cell keeps: 40 jobs end a
+	// second, and a state is kept for three minutes of a day of some 100 s.
+	busyFinished = 4000
+	busyWorkers  = 370
+)
+
+// busyCell plays the changes of a large cell: jobs of 3 to 60 tasks, of which some are done,
+// some run and the others wait.
+type busyCell struct {
+	random  *rand.Rand
+	records *scheduler.Records
+	jobs    []cell.Change
+	// finished holds the final jobs, the oldest first.
+	finished []string
+	// created counts the jobs that there were.
+	created int
+}
+
+func newBusyCell(jobs int) *busyCell {
+	b := &busyCell{random: rand.New(rand.NewPCG(1, 2)), records: scheduler.NewRecords("p")}
+	for range busyFinished {
+		b.records.Add(0, b.end(b.job()))
+	}
+	for range jobs {
+		j := b.job()
+		b.records.Add(0, j)
+		b.jobs = append(b.jobs, j)
+	}
+	return b
+}
+
+// job returns a new job, with runs of its first tasks.
+func (b *busyCell) job() cell.Change {
+	b.created++
+	tasks := make([]cell.TaskProgress, 3+b.random.IntN(58))
+	step := workload.Step{Tasks: len(tasks), Size: task.Size{Processors: 1000, Memory: 1 << 30}}
+	return cell.Change{
+		Job:      workload.Job{ID: fmt.Sprintf("%016x", b.random.Uint64()), Queue: "nightly", Spec: "image-7 --part 3", Steps: []workload.Step{step}},
+		New:      true,
+		Progress: cell.Progress{State: workload.Running, Steps: []cell.StepProgress{{Tasks: tasks}}},
+	}
+}
+
+// advance begins, ends or leaves each task of a job.
+func (b *busyCell) advance(c *cell.Change) {
+	c.New = false
+	tasks := make([]cell.TaskProgress, len(c.Progress.Steps[0].Tasks))
+	for i, t := range c.Progress.Steps[0].Tasks {
+		switch {
+		case b.random.IntN(4) > 0 || t.Done:
+		case len(t.Runs) > 0:
+			t.Done, t.Runs = true, nil
+		default:
+			t.Run++
+			t.Runs = []cell.RunProgress{{Run: t.Run, Worker: fmt.Sprintf("batch-%03d", b.random.IntN(busyWorkers)), Life: 1775216949216}}
+		}
+		tasks[i] = t
+	}
+	c.Progress.Steps = []cell.StepProgress{{Tasks: tasks}}
+}
+
+// end returns the change that makes a job final.
+func (b *busyCell) end(c cell.Change) cell.Change {
+	c.New, c.Progress = false, cell.Progress{State: workload.Done}
+	b.finished = append(b.finished, c.Job.ID)
+	return c
+}
+
+// changes returns those of one transaction.
+func (b *busyCell) changes() []cell.Change {
+	var changes []cell.Change
+	for range busyChanges - 2*busyTurnover {
+		c := &b.jobs[b.random.IntN(len(b.jobs))]
+		b.advance(c)
+		changes = append(changes, *c)
+	}
+	for range busyTurnover {
+		i := b.random.IntN(len(b.jobs))
+		ended := b.end(b.jobs[i])
+		b.jobs[i] = b.job()
+		changes = append(changes, ended, b.jobs[i])
+	}
+	return changes
+}
+
+// record makes a transaction of changes and returns its rows.
+func (b *busyCell) record(tb testing.TB, changes []cell.Change) []ledger.Change {
+	for _, c := range changes {
+		b.records.Add(int64(b.created), c)
+	}
+	for len(b.finished) > busyFinished {
+		b.records.Forget(b.finished[0])
+		b.finished = b.finished[1:]
+	}
+	rows, err := b.records.Take()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return rows
+}
+
+// settle goes on until a transaction is like any other.
+func (b *busyCell) settle(tb testing.TB) {
+	for range 4 * len(b.jobs) / busyChanges {
+		b.record(tb, b.changes())
+	}
+}
+
+// sizeOf returns the rows of a transaction and the bytes of their values.
+func sizeOf(changes []ledger.Change) (rows, size int) {
+	for _, c := range changes {
+		rows += len(c.Writes) + len(c.Removes)
+		for _, r := range c.Writes {
+			size += len(r.Value)
+		}
+	}
+	return rows, size
+}
+
+// BenchmarkBusyTransaction measures what a transaction of a busy large cell costs its owner
+// without the call of the store.
+func BenchmarkBusyTransaction(b *testing.B) {
+	for _, jobs := range []int{600, 1500} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			busy := newBusyCell(jobs)
+			busy.settle(b)
+			rows, size, n := 0, 0, 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				b.StopTimer()
+				changes := busy.changes()
+				b.StartTimer()
+				r, s := sizeOf(busy.record(b, changes))
+				rows, size, n = rows+r, size+s, n+1
+			}
+			b.ReportMetric(float64(rows)/float64(n), "rows/op")
+			b.ReportMetric(float64(size)/float64(n), "written-B/op")
+		})
+	}
+}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -25,6 +25,9 @@
 // Abandon forgets a job that was not taken yet.
 func (r *records) Abandon(id string) { r.abandon(id) }
 
+// Forget forgets the state of a final job.
+func (r *records) Forget(id string) { r.finished.remove(id) }
+
 // Read takes a row that an earlier owner wrote.
 func (r *records) Read(row ledger.Row) error {
 	if row.Table == ledger.FinishedTable {
