--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -124,3 +124,6 @@
 
 // DropMissing is dropMissing.
 func (o *Owner) DropMissing(now time.Duration) { o.dropMissing(now) }
+
+// Write is write.
+func (o *Owner) Write(notes []cell.Note) { o.write(notes) }
--- /dev/null
+++ b/scheduler/log_test.go
@@ -0,0 +1,37 @@
+package scheduler_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/lines"
+	"github.com/vanillaquay/vanillaquay/scheduler"
+)
+
+// jsonLog returns a log like that of a host.
+func jsonLog(out io.Writer) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
+	return logger.WithField("host", "entry-7")
+}
+
+// startNote is a note of a usual size.
+var startNote = cell.Note{What: "start", Job: "0123456789abcdef", Task: "0123456789abcdef.0.1.17", Run: 2, Worker: "batch-017", Why: "least busy of 3", Age: 12 * time.Millisecond}
+
+// BenchmarkNote measures what the line of a decision costs.
+func BenchmarkNote(b *testing.B) {
+	out := lines.New(io.Discard)
+	defer out.Close()
+	o := scheduler.New(scheduler.Options{}, &ledger.Ledger{}, nil, nil, nil, nil, nil, jsonLog(out))
+	notes := []cell.Note{startNote}
+	b.ReportAllocs()
+	for b.Loop() {
+		o.Write(notes)
+	}
+}
