--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,7 +20,7 @@
 	HeadTable = "cell"
 	// LeaseTable holds a row for each cell that its owner renews.
 	LeaseTable = "lease"
-	// JobTable, ProgressTable and FinishedTable hold the jobs of a cell, many in a row.
+	// JobTable, ProgressTable and FinishedTable hold pages of many jobs, or of their changes.
 	JobTable      = "job"
 	ProgressTable = "progress"
 	FinishedTable = "finished"
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -25,17 +25,28 @@
 // Abandon forgets a job that was not taken yet.
 func (r *records) Abandon(id string) { r.abandon(id) }
 
-// Read takes a row that an earlier owner wrote.
-func (r *records) Read(row ledger.Row) error {
-	switch row.Table {
-	case ledger.FinishedTable:
-		return r.finished.read(row)
-	case ledger.JobTable:
-		_, err := r.jobs.read(row)
+// Forget forgets the state of a final job.
+func (r *records) Forget(id string) { r.finished.remove(id) }
+
+// Read takes the rows that earlier owners wrote.
+func (r *records) Read(rows ...ledger.Row) error {
+	var finished, progress []ledger.Row
+	for _, row := range rows {
+		switch row.Table {
+		case ledger.FinishedTable:
+			finished = append(finished, row)
+		case ledger.JobTable:
+			if _, err := r.jobs.read(row); err != nil {
+				return err
+			}
+		default:
+			progress = append(progress, row)
+		}
+	}
+	if err := r.finished.read(finished); err != nil {
 		return err
-	default:
-		return r.progress.read(row)
 	}
+	return r.progress.read(progress)
 }
 
 // Jobs returns the jobs of a row that an earlier owner wrote.
@@ -133,3 +144,6 @@
 
 // AbandonFresh is abandonFresh.
 func (o *Owner) AbandonFresh(now time.Duration) { o.abandonFresh(now) }
+
+// Write is write.
+func (o *Owner) Write(notes []cell.Note) { o.write(notes) }
--- a/scheduler/record_test.go
+++ b/scheduler/record_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -31,25 +33,36 @@
 func (t table) apply(c *qt.C, r *scheduler.Records) (rows int) {
 	changes, err := r.Take()
 	c.Assert(err, qt.IsNil)
+	rows, _ = sizeOf(changes)
+	t.write(changes)
+	return rows
+}
+
+// write carries changes out.
+func (t table) write(changes []ledger.Change) {
 	for _, change := range changes {
 		for _, row := range change.Writes {
 			t[row.Table+"/"+row.Key] = row
-			rows++
 		}
 		for _, row := range change.Removes {
 			delete(t, row.Table+"/"+row.Key)
-			rows++
 		}
 	}
-	return rows
+}
+
+// bytes returns the size of all values.
+func (t table) bytes() int {
+	n := 0
+	for _, row := range t {
+		n += len(row.Value)
+	}
+	return n
 }
 
 // read returns the records of a new owner.
 func (t table) read(c *qt.C) *scheduler.Records {
 	r := scheduler.NewRecords("p")
-	for _, row := range t {
-		c.Assert(r.Read(row), qt.IsNil)
-	}
+	c.Assert(r.Read(slices.Collect(maps.Values(t))...), qt.IsNil)
 	return r
 }
 
@@ -145,6 +158,9 @@
 		{Table: ledger.JobTable, Key: "pa", Value: []byte{0xa0}},
 		{Table: ledger.JobTable, Key: "a", Value: []byte{0x80}},
 		{Table: ledger.JobTable},
+		{Table: ledger.ProgressTable, Key: "p00000000000000AB", Value: []byte{0xa0}},
+		{Table: ledger.ProgressTable, Key: "p1", Value: []byte{0xa0}},
+		{Table: ledger.ProgressTable, Key: "p0000000000000001", Value: []byte{0xf6}},
 	} {
 		qt.Check(t, r.Read(row), qt.IsNotNil, qt.Commentf("%v", row))
 	}
