ledger: a list that follows lost history is read once more

After lost history the first feed waits 1 s at most, and the rows are listed once more. That is two calls a host each time. The test of a store in which such a row is in neither fails before: nothing for 5 s.

--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -12,6 +12,9 @@
 const (
 	// feedWait is how long a feed waits for a change.
 	feedWait = 15 * time.Second
+	// confirmWait is how long the first feed after a list waits, if history was gone, until
+	// the rows are listed again. Changes must be in force 2.5 s after they are made.
+	confirmWait = time.Second
 	// watchRetry is the pause after a call of a watch has failed.
 	watchRetry = 300 * time.Millisecond
 )
@@ -44,18 +47,14 @@
 // errAgain is the error of a call that was ended to be made again.
 var errAgain = errors.ConstError("the store was away: the call is made again")
 
-// Run follows the table until the context ends.
+// Run follows the table until the context ends. A list that was read because history was
+// gone is read once more a moment later: what is written while history goes may be in
+// neither the list nor the feed after it.
 func (w Watch) Run(ctx context.Context) {
-	after, listed := Version(0), false
+	p := progress{unlisted: true}
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
-			after, err = w.list(ctx)
-			listed = err == nil
-		} else {
-			after, err = w.follow(ctx, after)
-			listed = !errors.Is(err, ErrHistoryGone)
-		}
+		p, err = w.step(ctx, p)
 		pause := w.Pause
 		switch {
 		case err == nil:
@@ -76,6 +75,47 @@
 	}
 }
 
+// progress is how far a watch is.
+type progress struct {
+	// after is the version from which the feed goes on.
+	after Version
+	// unlisted tells that the rows are to be listed next.
+	unlisted bool
+	// unconfirmed tells that the list is to be read once more after the next feed.
+	unconfirmed bool
+}
+
+// step makes the next call.
+func (w Watch) step(ctx context.Context, p progress) (progress, error) {
+	if p.unlisted {
+		after, err := w.list(ctx)
+		if err != nil {
+			return p, err
+		}
+		return progress{after: after, unconfirmed: p.unconfirmed}, nil
+	}
+	wait := w.wait()
+	if p.unconfirmed {
+		wait = min(wait, confirmWait)
+	}
+	after, err := w.follow(ctx, p.after, wait)
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		return progress{unlisted: true, unconfirmed: true}, err
+	case err != nil:
+		return p, err
+	default:
+		return progress{after: after, unlisted: p.unconfirmed}, nil
+	}
+}
+
+func (w Watch) wait() time.Duration {
+	if w.Wait == 0 {
+		return feedWait
+	}
+	return w.Wait
+}
+
 func (w Watch) list(ctx context.Context) (Version, error) {
 	rows, version, err := All(ctx, w.Store, w.Table, w.Part)
 	if err != nil {
@@ -91,11 +131,7 @@
 	return version, nil
 }
 
-func (w Watch) follow(ctx context.Context, after Version) (Version, error) {
-	wait := w.Wait
-	if wait == 0 {
-		wait = feedWait
-	}
+func (w Watch) follow(ctx context.Context, after Version, wait time.Duration) (Version, error) {
 	limited, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -64,3 +64,53 @@
 	cancel()
 	<-ended
 }
+
+// deafStore drops its history, and a row that is written meanwhile is neither in the list nor
+// told by the feed after it.
+type deafStore struct {
+	fakeStore
+	lists, feeds int
+}
+
+// Rows implements ledger.Store.
+func (s *deafStore) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
+	s.lists++
+	page := ledger.Page{Version: 10}
+	if s.lists > 2 {
+		page.Rows = []ledger.Row{{Table: table, Key: "k", Version: 9}}
+	}
+	return page, nil
+}
+
+// Feed implements ledger.Store.
+func (s *deafStore) Feed(ctx context.Context, _ string, after ledger.Version, wait time.Duration) (ledger.Page, error) {
+	s.feeds++
+	if s.feeds == 1 {
+		return ledger.Page{}, ledger.ErrHistoryGone
+	}
+	select {
+	case <-ctx.Done():
+		return ledger.Page{}, ctx.Err()
+	case <-time.After(wait):
+		return ledger.Page{Version: after}, nil
+	}
+}
+
+// The store drops its history while the configuration changes: a host that listed it at that
+// moment must not stay with the earlier version until its feed ends, 15 s later.
+func TestListAfterLostHistoryIsConfirmed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	changed, ended := make(chan ledger.Row, 10), make(chan struct{})
+	go func() {
+		defer close(ended)
+		ledger.Watch{Store: &deafStore{}, Table: "t", Change: func(r ledger.Row) { changed <- r }}.Run(ctx)
+	}()
+	select {
+	case r := <-changed:
+		qt.Check(t, r.Key, qt.Equals, "k")
+	case <-time.After(5 * time.Second):
+		t.Error("the change was not seen")
+	}
+	cancel()
+	<-ended
+}
