--- a/cell/action.go
+++ b/cell/action.go
@@ -66,4 +66,8 @@
 	Why string
 	// Age is how old the deciding input was, or how long something took.
 	Age time.Duration
+	// Aim is the time in which a new job should be done, and Work what it takes, in
+	// processor-seconds.
+	Aim  time.Duration
+	Work float64
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -85,7 +85,7 @@
 	c.jobs[w.ID] = j
 	c.makeDue(now, j)
 	c.change(j)
-	c.note(Note{What: "job submitted", Job: w.ID, Why: w.Queue})
+	c.note(Note{What: "job submitted", Job: w.ID, Why: w.Queue, Aim: j.objective(c.queues[w.Queue]), Work: j.work})
 	return true
 }
 
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,6 +40,9 @@
 		if n.Age != 0 {
 			fields["age_ms"] = n.Age.Milliseconds()
 		}
+		if n.Work != 0 {
+			fields["aim_ms"], fields["work_s"] = n.Aim.Milliseconds(), math.Round(100*n.Work)/100
+		}
 		o.log.WithFields(fields).Info("cell: " + n.What)
 	}
 }
