cell: a gang wider than a question comes to its tickets

A question names 100 workers at most. A gang whose tasks need more workers named the same first 100 of its plan each time, or only good workers that it knew already in place of new ones, and never started, however empty the cell.

If there are more workers than one question takes, those without a ticket go first, so that the next question names the others while the first tickets hold. Ruled out: room, which is free on all workers.

--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -222,11 +222,22 @@
 	return roomSteps * w.spare().Processors / max(1, w.Capacity.Processors)
 }
 
+// lackingFirst puts those workers first for which a step has no ticket, if there are more
+// than one question takes: the next one names the others.
+func (c *Cell) lackingFirst(now time.Duration, s *step, about []*worker) []*worker {
+	if len(about) <= maxNamed {
+		return about
+	}
+	lacking := slices.DeleteFunc(slices.Clone(about), func(w *worker) bool { return c.valid(now, s, w) })
+	return append(lacking, slices.DeleteFunc(slices.Clone(about), func(w *worker) bool { return !c.valid(now, s, w) })...)
+}
+
 // ask hands out a question about a step unless one is under way.
 func (c *Cell) ask(now time.Duration, s *step, queue workload.Queue, about []*worker) {
 	if len(about) == 0 || s.tickets.waitsForAnswer(now) {
 		return
 	}
+	about = c.lackingFirst(now, s, about)
 	names := make([]string, 0, len(about))
 	for _, w := range about[:min(len(about), maxNamed)] {
 		names = append(names, w.ID)
