scheduler: a job that is over before its record has no row

A job that was cancelled before the transaction that would accept it was written and removed by that transaction. The store's pages don't tell what counts then. If the row stayed, its final state would be pruned, as no row is known to have the job, and the next owner would run a job that was cancelled.

Its final state is recorded without a row; jobs that are over need none. The map of jobs that were over before they were in a row is gone with that.

--- a/scheduler/job_page.go
+++ b/scheduler/job_page.go
@@ -26,8 +26,6 @@
 	keys map[string]string
 	// pages holds the rows by their keys.
 	pages map[string]*jobPage
-	// ended holds the jobs that were over before they were in a row.
-	ended map[string]bool
 	// removals holds the keys of the rows to remove.
 	removals []string
 }
@@ -40,7 +38,7 @@
 }
 
 func newJobPages(part string) *jobPages {
-	return &jobPages{part: part, keys: map[string]string{}, pages: map[string]*jobPage{}, ended: map[string]bool{}}
+	return &jobPages{part: part, keys: map[string]string{}, pages: map[string]*jobPage{}}
 }
 
 // create takes a job that is to be written.
@@ -54,12 +52,13 @@
 // has reports whether a row has a job, or is about to.
 func (p *jobPages) has(id string) bool { return p.keys[id] != "" }
 
-// over notes that a job is final and takes no room any more.
+// over notes that a job is final and takes no room any more. One that is in no row yet needs
+// none: a transaction that wrote and removed the same row might leave it.
 func (p *jobPages) over(id string) {
 	key := p.keys[id]
 	page := p.pages[key]
 	if page == nil {
-		p.ended[id] = true
+		p.abandon(id)
 		return
 	}
 	if !page.open[id] {
@@ -148,12 +147,6 @@
 		page.jobs = append(page.jobs, j.ID)
 		page.open[j.ID] = true
 	}
-	for _, id := range page.jobs {
-		if p.ended[id] {
-			delete(p.ended, id)
-			p.over(id)
-		}
-	}
 }
 
 // lasts reports whether a job may stay for long.
