ledger: the transactions of two tenures of a process have other numbers

Each tenure counted its transactions from 1, so that the first of two tenures of one process had the same number. A host that gave up taking the cell from a slow store after 3 s, though the store carried that out, takes it again at once. If the store is slow then too, it looks at the head row, finds the number, and counts the second transaction as done: it decides for the cell on a condition that is out of date, and loses the cell at its first record once the second one takes effect.

The fencing token is part of the number. Two tries that read the same head row still have the same number; they are the same transaction.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -91,7 +91,8 @@
 	store Store
 	cell  string
 	owner string
-	// incarnation makes the numbers of transactions unique.
+	// incarnation makes the numbers of transactions unique, with the fencing token: a
+	// process may take the cell several times.
 	incarnation string
 	// version is that of the head row as this owner last wrote it.
 	version Version
@@ -247,7 +248,7 @@
 
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
 	l.count++
-	number := l.incarnation + "." + strconv.FormatInt(l.count, 10)
+	number := l.incarnation + "." + strconv.FormatInt(l.fence, 10) + "." + strconv.FormatInt(l.count, 10)
 	headValue, err := codec.Marshal(head{Owner: owner, Transaction: number, Fence: l.fence})
 	if err != nil {
 		return Transaction{}, "", errors.Trace(err)
