cell: an old answer replaces no ticket, an impossible plan keeps no room

Answers of earlier tenures are passed on with each new connection of a host to the owner, for 30 s. One that came after a newer answer put its lapsed ticket in place of the new one: the step asked again and waited for that, with room.

A gang kept the plan of its last question when no plan was possible any more, as one of its workers had left.

Ruled out: that the end of a question should count only for its own answer; after a takeover a step starts sooner if it asks again about those that an earlier answer has named.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -94,9 +94,9 @@
 	if queue.Advice == nil || s.tickets.waitsForAnswer(now) {
 		return
 	}
-	if plan := planGang(s, good); plan != nil {
-		s.booked = plan
-		c.ask(now, s, queue, spareFor(s, plan, good))
+	s.booked = planGang(s, good)
+	if s.booked != nil {
+		c.ask(now, s, queue, spareFor(s, s.booked, good))
 		return
 	}
 	c.widenGang(now, s, queue, good)
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -284,10 +284,14 @@
 		}
 	}
 	c.goodShares.learn(s.job.Queue, good, fresh)
+	until := received + q.Valid
 	for id, value := range answered {
-		if w := c.workers[id]; w != nil {
-			t.good[id] = ticket{value: value, until: received + q.Valid, life: w.Life}
+		w := c.workers[id]
+		if held, ok := t.good[id]; w == nil || ok && held.until > until {
+			// Answers overtake one another, and those of earlier tenures are passed on again.
+			continue
 		}
+		t.good[id] = ticket{value: value, until: until, life: w.Life}
 	}
 	t.named = slices.Sorted(maps.Keys(t.good))
 }
