advice: an answer takes only its own question off a host

Hosts pass on what the service said to earlier owners, also after a link was broken. Such an answer took the question off its host that was under way about the same step: the host got another long one, which waited behind it at the service, and seemed to answer a second early, so that it was preferred from then on. Questions are told apart by the workers that they name. The test fails before.

--- a/advice/desk.go
+++ b/advice/desk.go
@@ -58,10 +58,11 @@
 	d.waiting = append(d.waiting, q)
 }
 
-// Answered takes a question off its host.
+// Answered takes a question off its host. An answer to an earlier owner may be about the
+// same step, but other workers.
 func (d *Desk) Answered(now time.Duration, host string, q cell.Question) {
 	for i, a := range d.asked[host] {
-		if a.question.Step == q.Step {
+		if a.question.Step == q.Step && slices.Equal(a.question.Workers, q.Workers) {
 			d.learn(host, now-a.at-q.Expected)
 			d.asked[host] = slices.Delete(d.asked[host], i, i+1)
 			return
