advice: a host that fails a question at once is not preferred

A failed question counted as an answer that came early by all that it was expected to take. A host that is cut off from the service, or whose ring is full, was idle again after some milliseconds and seemed the quickest: the next question went there again. A step that waits alone in an empty cell never got another host, also under the next owner, which learns the same with its first question, for as long as the host fails. A question that could not be sent counted so as well.

Such a host rests for 0.5 s and comes after the others then.

--- a/advice/desk.go
+++ b/advice/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	maxShort = 2
 	// lost is how long after its expected end an answer is given up.
 	lost = 2 * time.Second
+	// failedRest is how long a host is asked nothing after it failed a question: the time in
+	// which others answer a short one, or a connection is made again.
+	failedRest = 500 * time.Millisecond
 	// delayWeight is the weight of the past in the mean delay of a host.
 	delayWeight = 4
 )
@@ -42,6 +46,8 @@
 	// delay is how much longer than expected the answers of each host take, as a
 	// moving mean.
 	delay map[string]time.Duration
+	// resting holds the hosts that have failed a question, until when they are asked nothing.
+	resting map[string]time.Duration
 }
 
 // asked is a question at a host.
@@ -61,13 +67,32 @@
 // Answered takes a question off its host. An answer to an earlier owner may be about the
 // same step, but other workers.
 func (d *Desk) Answered(now time.Duration, host string, q cell.Question) {
+	if a, ok := d.remove(host, q); ok {
+		d.learn(host, now-a.at-q.Expected)
+	}
+}
+
+// Failed takes a question off its host that got no answer there. The host is asked nothing
+// for some time, and later than others after that: one that is cut off from the service
+// fails all at once, and would be the first that is free again.
+func (d *Desk) Failed(now time.Duration, host string, q cell.Question) {
+	d.remove(host, q)
+	d.learn(host, lost)
+	if d.resting == nil {
+		d.resting = map[string]time.Duration{}
+	}
+	d.resting[host] = now + failedRest
+}
+
+// remove takes a question off its host, and reports whether the host had it.
+func (d *Desk) remove(host string, q cell.Question) (asked, bool) {
 	for i, a := range d.asked[host] {
 		if a.question.Step == q.Step && slices.Equal(a.question.Workers, q.Workers) {
-			d.learn(host, now-a.at-q.Expected)
 			d.asked[host] = slices.Delete(d.asked[host], i, i+1)
-			return
+			return a, true
 		}
 	}
+	return asked{}, false
 }
 
 // learn takes how much longer than expected an answer took.
@@ -159,7 +184,9 @@
 		}
 	}
 	if !isLong(q) {
-		take(hosts, func(h string) bool { return len(d.asked[h]) < maxShort && (len(hosts) == 1 || !d.hasLong(h)) })
+		take(hosts, func(h string) bool {
+			return !d.rests(h) && len(d.asked[h]) < maxShort && (len(hosts) == 1 || !d.hasLong(h))
+		})
 		return best, found
 	}
 	take(hosts[:forLong], d.idle)
@@ -169,8 +196,14 @@
 	return best, found
 }
 
-// idle reports whether a host has no question.
-func (d *Desk) idle(host string) bool { return len(d.asked[host]) == 0 }
+// idle reports whether a host has no question and may get one.
+func (d *Desk) idle(host string) bool { return len(d.asked[host]) == 0 && !d.rests(host) }
+
+// rests reports whether a host has failed a question a short time ago.
+func (d *Desk) rests(host string) bool {
+	_, ok := d.resting[host]
+	return ok
+}
 
 // mayLend reports whether one of the hosts that are left for short questions may take a long
 // one, out of a number of hosts in all.
@@ -204,9 +237,10 @@
 	return until
 }
 
-// expire forgets questions whose answer will not come.
+// expire forgets questions whose answer will not come, and rests that are over.
 func (d *Desk) expire(now time.Duration) {
 	for host, list := range d.asked {
 		d.asked[host] = slices.DeleteFunc(list, func(a asked) bool { return now > a.until+lost })
 	}
+	maps.DeleteFunc(d.resting, func(_ string, until time.Duration) bool { return now >= until })
 }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -182,9 +182,11 @@
 	}
 	received := clock.Now() - a.Age
 	o.post(func(now time.Duration) {
-		o.desk.Answered(now, from, a.Question)
 		o.askDue = true
-		if a.Failed != "" {
+		if a.Failed == "" {
+			o.desk.Answered(now, from, a.Question)
+		} else {
+			o.desk.Failed(now, from, a.Question)
 			o.log.WithFields(logrus.Fields{"step": a.Question.Step.String(), "host": from, "why": a.Failed}).Warn("scheduler: advice failed")
 		}
 		o.cell.Advised(now, received, a.Question, a.Tickets)
@@ -351,7 +353,7 @@
 	now := clock.Now()
 	for _, a := range o.desk.Assign(now, o.members.Askers()) {
 		if !o.members.Ask(a.Host, Question{Fence: o.Fence(), Question: a.Question}) {
-			o.desk.Answered(now, a.Host, a.Question)
+			o.desk.Failed(now, a.Host, a.Question)
 			o.desk.Add(a.Question)
 		}
 	}
