scheduler, upkeep: the time of a wave goes on after a takeover

Each owner counted the time of a wave from its own takeover, so that with 10 s of a wave left machines could wait 8 s for their tasks as at its beginning, and the wave ended late. The record of a wave has its beginning now; one of an earlier version, without it, counts as before. The test of the takeover fails before.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -133,3 +134,12 @@
 
 // AbandonFresh is abandonFresh.
 func (o *Owner) AbandonFresh(now time.Duration) { o.abandonFresh(now) }
+
+// TakeWaves is takeWaves.
+func (o *Owner) TakeWaves(now time.Duration) { o.takeWaves(now) }
+
+// RestoreWave takes what an earlier owner recorded of a wave.
+func (o *Owner) RestoreWave(p upkeep.Progress) { o.waves.restored[p.Wave] = p }
+
+// Waves returns what is to be recorded of waves.
+func (o *Owner) Waves() []upkeep.Progress { return o.records.waves }
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -63,8 +63,8 @@
 	o.waves.fresh = nil
 	o.waves.mu.Unlock()
 	for _, w := range fresh {
-		isNew := o.waves.planner.SetWave(now, w)
-		if p, ok := o.waves.restored[w.Number]; ok && isNew {
+		p, restored := o.waves.restored[w.Number]
+		if isNew := o.waves.planner.SetWave(waveBegan(now, p), w); restored && isNew {
 			o.waves.planner.Restore(now, p)
 		}
 	}
@@ -75,9 +75,18 @@
 	o.recordWaves()
 }
 
+// waveBegan returns when a wave began by what an earlier owner recorded: its time goes on.
+func waveBegan(now time.Duration, p upkeep.Progress) time.Duration {
+	if p.Since == 0 {
+		return now
+	}
+	return now - max(0, time.Duration(time.Now().UnixMilli()-p.Since)*time.Millisecond)
+}
+
 // recordWaves records what has changed of waves, and tells the operator after that.
 func (o *Owner) recordWaves() {
 	for _, p := range o.waves.planner.Changes() {
+		p.Since = time.Now().Add(o.waves.planner.Since(p.Wave) - clock.Now()).UnixMilli()
 		o.records.waves = append(o.records.waves, p)
 		o.log.WithFields(logrus.Fields{"wave": p.Wave, "begun": len(p.Begun), "done": p.Done}).Info("upkeep: wave")
 		o.effects = append(o.effects, func() {
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -58,21 +58,29 @@
 	return &Planner{duration: duration, waves: map[int64]*wave{}, machines: map[string]Machine{}}
 }
 
-// SetWave takes a wave, and reports whether it is new; one that is known is not
-// changed.
-func (p *Planner) SetWave(now time.Duration, w Wave) bool {
+// SetWave takes a wave that began at a time, and reports whether it is new; one that is
+// known is not changed.
+func (p *Planner) SetWave(since time.Duration, w Wave) bool {
 	if p.waves[w.Number] != nil {
 		return false
 	}
 	w.MaxDown = max(1, w.MaxDown)
 	p.waves[w.Number] = &wave{
-		Wave: w, since: now, begun: map[string]bool{}, down: map[string]time.Duration{},
+		Wave: w, since: since, begun: map[string]bool{}, down: map[string]time.Duration{},
 		chosen: map[string]time.Duration{}, rests: map[string]time.Duration{},
 	}
 	p.changed = append(p.changed, w.Number)
 	return true
 }
 
+// Since returns when a wave began.
+func (p *Planner) Since(number int64) time.Duration {
+	if w := p.waves[number]; w != nil {
+		return w.since
+	}
+	return 0
+}
+
 // Restore takes what an earlier owner recorded of a wave. Each machine that has begun
 // may still be down.
 func (p *Planner) Restore(now time.Duration, r Progress) {
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -57,4 +57,6 @@
 	// Begun holds the machines whose upkeep has begun, or that are gone.
 	Begun []string `cbor:"2,keyasint"`
 	Done  bool     `cbor:"3,keyasint,omitempty"`
+	// Since is when the wave began, in milliseconds since 1970; 0 is not known.
+	Since int64 `cbor:"4,keyasint,omitempty"`
 }
