ledger: changes are followed from the first page of a list on

A list of over 500 rows or 1 MB is read in pages, each as of its own moment, and the feed was followed from the version of the last one: a row of an earlier page that changed in between stayed as it was until it changed again. The cells of today have one page of workers. The test fails before.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -273,18 +273,23 @@
 	return t, number, nil
 }
 
-// All returns all rows of a cell's table.
+// All returns all rows of a cell's table, and the version of the store as of the first page:
+// what changes until the last one has a later version.
 func All(ctx context.Context, store Store, table, part string) ([]Row, Version, error) {
 	var rows []Row
+	var version Version
 	from := ""
 	for {
 		page, err := store.Rows(ctx, table, part, from, pageSize)
 		if err != nil {
 			return nil, 0, errors.Annotatef(err, "table %s", table)
 		}
+		if from == "" {
+			version = page.Version
+		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
-			return rows, page.Version, nil
+			return rows, version, nil
 		}
 		// The first key after the last one.
 		from = page.Rows[len(page.Rows)-1].Key + "\x01"
