front: a new owner reads the configuration once it can be told of the next

The configuration was read before the owner was known to the duty that hands new versions to it. One that came in between was in force at the desk of the host and not for the owner, until the next version or tenure: jobs of a new queue were accepted and never tried. The span is some microseconds; found by reading, there is no test that hits it.

--- a/front/tenure.go
+++ b/front/tenure.go
@@ -248,7 +248,6 @@
 		return
 	}
 	h.takeovers.Add(1)
-	catalogue, _ := h.desk.Catalogue()
 	o := scheduler.New(scheduler.Options{
 		Cell: cellName, Bound: bounds(s), StatusKept: s.StatusKept, PatienceOfEarlier: tenure.OwnerPatience,
 		Holder: s.Host, UpkeepTime: s.UpkeepTime, TurnPause: s.TurnPause,
@@ -267,6 +266,8 @@
 	h.desk.OwnerChanged()
 	h.tell()
 	h.passOn(s.Host)
+	// A version that comes later is handed to the owner, which is known by now.
+	catalogue, _ := h.desk.Catalogue()
 	err = o.Run(ctx, catalogue)
 	h.mu.Lock()
 	h.owner = nil
