cell: a gang that can't fit keeps no room

A gang that waits keeps the room that it could use. One that needs more than all workers that may run it have, as workers left or as it knows too few, kept it for ever: in an empty cell of four workers a gang of five tasks let none of the four tasks of a later job start. What is too late to earn anything is served by age, so that an old gang comes before all such jobs, while those in time pass by it. An owner that follows finds the same jobs and does the same.

Such a gang holds nothing. One that fits if its workers were empty holds as before, also while some rest. Two tests fail before: 0 of 4 tasks run, and 5 of 8; the third, which bounds the change, passes before as well.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -221,8 +221,8 @@
 // on the workers that lack least, since small tasks would take each part of it
 // that becomes free.
 func (c *Cell) holdRoom(now time.Duration, s *step, queue workload.Queue) {
-	if s.booked != nil {
-		// It has all that it needs.
+	if s.booked != nil || !c.canFit(s, queue) {
+		// It has all that it needs, or would keep room for nothing.
 		return
 	}
 	list := c.candidates(now, s, queue)
@@ -244,6 +244,18 @@
 	}
 }
 
+// canFit reports whether the workers that may run a gang, as far as is known, have room for
+// all of it if they are empty. Workers leave, and a gang may know too few yet.
+func (c *Cell) canFit(s *step, queue workload.Queue) bool {
+	slots := 0
+	for _, w := range c.allowed(s, queue) {
+		if w.announced() && serves(s, queue, w) {
+			slots += s.slotsOn(w)
+		}
+	}
+	return slots >= len(s.tasks)
+}
+
 // nearest returns the worker that lacks least for a task of a step. members counts the
 // tasks that it is held for already.
 func nearest(s *step, list []*worker, members map[*worker]int) *worker {
