cell: a service that lost a task is not too late to earn

The order of service went by the time that a service was handed in, so that each restart of a task after its first seconds counted as too late to earn anything: it waited behind all jobs in time and all late ones, and its question for advice behind theirs.

The time counts from the end of the last run, or from the takeover. Each of the two tests fails without its line: the first where a run ends, the second at the takeover.

--- a/cell/job.go
+++ b/cell/job.go
@@ -40,7 +40,8 @@
 	left int
 	// begun tells that a task has had a run.
 	begun bool
-	// since is when the occurrence was due.
+	// since is when the occurrence was due, or when a task of a service last ended: a service
+	// earns with each second that it is at work, however old it is.
 	since   time.Duration
 	tickets tickets
 	// failedRun is the last run of a gang whose failure was counted.
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -36,6 +36,9 @@
 
 func (c *Cell) restoreStep(now, bound time.Duration, s *step, p StepProgress) {
 	s.begun = true
+	if s.Daemon {
+		s.since = now
+	}
 	for i, t := range p.Tasks {
 		if i >= len(s.tasks) {
 			return
--- a/cell/run.go
+++ b/cell/run.go
@@ -211,6 +211,9 @@
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
 	c.change(s.job)
+	if s.Daemon {
+		s.since = now
+	}
 	if s.Gang {
 		c.gangLost(now, s, r)
 	}
