--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -222,11 +222,22 @@
 	return roomSteps * w.spare().Processors / max(1, w.Capacity.Processors)
 }
 
+// lackingFirst puts those workers first for which a step has no ticket, if there are more
+// than one question takes: the next one names the others.
+func (c *Cell) lackingFirst(now time.Duration, s *step, about []*worker) []*worker {
+	if len(about) <= maxNamed {
+		return about
+	}
+	lacking := slices.DeleteFunc(slices.Clone(about), func(w *worker) bool { return c.valid(now, s, w) })
+	return append(lacking, slices.DeleteFunc(slices.Clone(about), func(w *worker) bool { return !c.valid(now, s, w) })...)
+}
+
 // ask hands out a question about a step unless one is under way.
 func (c *Cell) ask(now time.Duration, s *step, queue workload.Queue, about []*worker) {
 	if len(about) == 0 || s.tickets.waitsForAnswer(now) {
 		return
 	}
+	about = c.lackingFirst(now, s, about)
 	names := make([]string, 0, len(about))
 	for _, w := range about[:min(len(about), maxNamed)] {
 		names = append(names, w.ID)
@@ -273,10 +284,14 @@
 		}
 	}
 	c.goodShares.learn(s.job.Queue, good, fresh)
+	until := received + q.Valid
 	for id, value := range answered {
-		if w := c.workers[id]; w != nil {
-			t.good[id] = ticket{value: value, until: received + q.Valid, life: w.Life}
+		w := c.workers[id]
+		if held, ok := t.good[id]; w == nil || ok && held.until > until {
+			// Answers overtake one another, and those of earlier tenures are passed on again.
+			continue
 		}
+		t.good[id] = ticket{value: value, until: until, life: w.Life}
 	}
 	t.named = slices.Sorted(maps.Keys(t.good))
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -91,7 +91,8 @@
 	store Store
 	cell  string
 	owner string
-	// incarnation makes the numbers of transactions unique.
+	// incarnation makes the numbers of transactions unique, with the fencing token: a
+	// process may take the cell several times.
 	incarnation string
 	// version is that of the head row as this owner last wrote it.
 	version Version
@@ -247,7 +248,7 @@
 
 func (l *Ledger) transaction(owner string, changes []Change) (Transaction, string, error) {
 	l.count++
-	number := l.incarnation + "." + strconv.FormatInt(l.count, 10)
+	number := l.incarnation + "." + strconv.FormatInt(l.fence, 10) + "." + strconv.FormatInt(l.count, 10)
 	headValue, err := codec.Marshal(head{Owner: owner, Transaction: number, Fence: l.fence})
 	if err != nil {
 		return Transaction{}, "", errors.Trace(err)
@@ -272,18 +273,23 @@
 	return t, number, nil
 }
 
-// All returns all rows of a cell's table.
+// All returns all rows of a cell's table, and the version of the store as of the first page:
+// what changes until the last one has a later version.
 func All(ctx context.Context, store Store, table, part string) ([]Row, Version, error) {
 	var rows []Row
+	var version Version
 	from := ""
 	for {
 		page, err := store.Rows(ctx, table, part, from, pageSize)
 		if err != nil {
 			return nil, 0, errors.Annotatef(err, "table %s", table)
 		}
+		if from == "" {
+			version = page.Version
+		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
-			return rows, page.Version, nil
+			return rows, version, nil
 		}
 		// The first key after the last one.
 		from = page.Rows[len(page.Rows)-1].Key + "\x01"
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -65,15 +65,15 @@
 	<-ended
 }
 
-// deafStore drops its history, and a row that is written meanwhile is neither in the list nor
+// forgetfulStore drops its history, and a row that is written meanwhile is neither in the list nor
 // told by the feed after it.
-type deafStore struct {
+type forgetfulStore struct {
 	fakeStore
 	lists, feeds int
 }
 
 // Rows implements ledger.Store.
-func (s *deafStore) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
+func (s *forgetfulStore) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
 	s.lists++
 	page := ledger.Page{Version: 10}
 	if s.lists > 2 {
@@ -83,7 +83,7 @@
 }
 
 // Feed implements ledger.Store.
-func (s *deafStore) Feed(ctx context.Context, _ string, after ledger.Version, wait time.Duration) (ledger.Page, error) {
+func (s *forgetfulStore) Feed(ctx context.Context, _ string, after ledger.Version, wait time.Duration) (ledger.Page, error) {
 	s.feeds++
 	if s.feeds == 1 {
 		return ledger.Page{}, ledger.ErrHistoryGone
@@ -103,7 +103,7 @@
 	changed, ended := make(chan ledger.Row, 10), make(chan struct{})
 	go func() {
 		defer close(ended)
-		ledger.Watch{Store: &deafStore{}, Table: "t", Change: func(r ledger.Row) { changed <- r }}.Run(ctx)
+		ledger.Watch{Store: &forgetfulStore{}, Table: "t", Change: func(r ledger.Row) { changed <- r }}.Run(ctx)
 	}()
 	select {
 	case r := <-changed:
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -147,3 +148,12 @@
 
 // Write is write.
 func (o *Owner) Write(notes []cell.Note) { o.write(notes) }
+
+// TakeWaves is takeWaves.
+func (o *Owner) TakeWaves(now time.Duration) { o.takeWaves(now) }
+
+// RestoreWave takes what an earlier owner recorded of a wave.
+func (o *Owner) RestoreWave(p upkeep.Progress) { o.waves.restored[p.Wave] = p }
+
+// Waves returns what is to be recorded of waves.
+func (o *Owner) Waves() []upkeep.Progress { return o.records.waves }
