--- a/intake/reply.go
+++ b/intake/reply.go
@@ -39,27 +39,6 @@
 // refuses reports whether a reply says that a call had no effect.
 func (r Reply) refuses() bool { return r.Outcome == Overloaded || r.Outcome == Unavailable }
 
-// Verb is what a caller wants.
-type Verb string
-
-// The verbs.
-const (
-	Submit  Verb = "Submit"
-	State   Verb = "State"
-	Cancel  Verb = "Cancel"
-	Waiting Verb = "Waiting"
-)
-
-// Call is a call on its way to the owner of the cell.
-type Call struct {
-	// Number identifies the call at its sender.
-	Number uint64       `cbor:"1,keyasint"`
-	Verb   Verb         `cbor:"2,keyasint"`
-	Queue  string       `cbor:"3,keyasint,omitempty"`
-	ID     string       `cbor:"4,keyasint,omitempty"`
-	Job    workload.Job `cbor:"5,keyasint,omitempty"`
-}
-
 // Answer brings a reply back.
 type Answer struct {
 	Number uint64 `cbor:"1,keyasint"`
