--- /dev/null
+++ b/front/export_test.go
@@ -0,0 +1,19 @@
+package front
+
+import (
+	"slices"
+
+	"github.com/vanillaquay/vanillaquay/ledger"
+)
+
+// ListMembers returns the names of the members in rows that are read at once, and then
+// once each has come as a change.
+func ListMembers(rows []ledger.Row) (listed, changed []string) {
+	all := members{changed: func() {}}
+	all.list(rows)
+	each := members{known: map[string]member{}, changed: func() {}}
+	for _, r := range rows {
+		each.change(r)
+	}
+	return all.names(), slices.Clone(each.names())
+}
--- /dev/null
+++ b/peer/malformed_test.go
@@ -0,0 +1,68 @@
+package peer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/codec"
+	"github.com/vanillaquay/vanillaquay/decision"
+	"github.com/vanillaquay/vanillaquay/peer"
+)
+
+// reportCode is peer.KindReport on the wire.
+const reportCode = 4
+
+// Of the messages that come together some can't be read or are of a kind that isn't known:
+// the others reach their subscriber.
+func TestMalformedMessageLeavesTheOthers(t *testing.T) {
+	c := qt.New(t)
+	hub := peer.NewHub("b", func(string) (string, bool) { return "", false })
+	server := httptest.NewServer(hub)
+	defer server.Close()
+	defer func() { c.Check(hub.Close(), qt.IsNil) }()
+	messages, err := hub.Subscribe(context.Background(), string(peer.KindReport))
+	c.Assert(err, qt.IsNil)
+	got, ignored := make(chan string, 10), make(chan error, 10)
+	take := peer.Handle(func(_ string, r decision.Report) { got <- r.Reason })
+	go func() {
+		for m := range messages {
+			if err := take(m); err != nil {
+				ignored <- err
+			}
+			m.Ack()
+		}
+	}()
+	report := func(reason string) []byte {
+		data, err := codec.Marshal(decision.Report{Status: decision.Placed, Reason: reason})
+		c.Assert(err, qt.IsNil)
+		return data
+	}
+	data, err := codec.Marshal([]any{
+		[]any{reportCode, report("first")}, []any{reportCode, []byte{0xff}}, []any{reportCode, []byte{}}, []any{200, report("odd")},
+		[]any{reportCode, []byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}}, []any{reportCode, report("last")},
+	})
+	c.Assert(err, qt.IsNil)
+	connection, _, err := websocket.Dial(context.Background(), "ws"+strings.TrimPrefix(server.URL, "http"),
+		&websocket.DialOptions{HTTPHeader: http.Header{peer.MemberHeader: {"a"}}})
+	c.Assert(err, qt.IsNil)
+	defer connection.CloseNow()
+	c.Assert(connection.Write(context.Background(), websocket.MessageBinary, data), qt.IsNil)
+	for _, want := range []string{"first", "last"} {
+		select {
+		case reason := <-got:
+			c.Assert(reason, qt.Equals, want)
+		case <-time.After(patience):
+			t.Fatalf("the %s message did not come", want)
+		}
+	}
+	for range 3 {
+		c.Check(<-ignored, qt.ErrorMatches, "message .* of kind Report.*")
+	}
+}
