--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -31,33 +32,55 @@
 		}
 		f.Add(data)
 	}
-	handlers := []message.NoPublishHandlerFunc{
-		peer.Handle(func(string, peer.Call) {}),
-		peer.Handle(func(string, peer.Answer) {}),
-		peer.Handle(func(string, peer.Command) {}),
-		peer.Handle(func(string, decision.Report) {}),
-		peer.Handle(func(string, decision.Usage) {}),
-		peer.Handle(func(string, decision.Summary) {}),
-		peer.Handle(func(string, peer.DigestWanted) {}),
-		peer.Handle(func(_ string, d peer.Digests) { applyAll(f, d) }),
+	for _, value := range []any{
+		peer.Configuration{Row: []byte(`{}`)}, peer.Applied{Version: 1}, peer.DigestWanted{Racks: []string{"r1"}},
+		peer.Epochs{Number: 1, Racks: map[string]uint64{"r1": 1}}, peer.EpochsKnown{Number: 1, Higher: map[string]uint64{"r1": 2}},
+	} {
+		data, err := codec.Marshal(value)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
 	}
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		for _, handle := range handlers {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, handle := range []message.NoPublishHandlerFunc{
+			reading[peer.Call](t), reading[peer.Answer](t), reading[peer.Command](t), reading[decision.Report](t),
+			reading[decision.Usage](t), reading[decision.Summary](t), reading[peer.DigestWanted](t), reading[peer.OwnershipChanged](t),
+			reading[peer.Configuration](t), reading[peer.Applied](t), reading[peer.Epochs](t), reading[peer.EpochsKnown](t),
+			reading[peer.Digests](t), peer.Handle(func(_ string, d peer.Digests) { applyAll(t, d) }),
+		} {
 			// Most input is no message; what matters is that it does no harm.
 			_ = handle(message.NewMessage("", data))
 		}
 	})
 }
 
+// reading returns a handler that checks that a message is written as it is read.
+func reading[T any](t *testing.T) message.NoPublishHandlerFunc {
+	return peer.Handle(func(_ string, value T) {
+		first, err := codec.Marshal(value)
+		if err != nil {
+			t.Fatalf("%+v: %v", value, err)
+		}
+		var again T
+		if err := codec.Unmarshal(first, &again); err != nil {
+			t.Fatalf("%+v: %v", value, err)
+		}
+		if second, err := codec.Marshal(again); err != nil || !bytes.Equal(first, second) {
+			t.Fatalf("%+v read back as %+v, %v", value, again, err)
+		}
+	})
+}
+
 // applyAll applies changes one after another, as a receiver does.
-func applyAll(f *testing.F, d peer.Digests) {
+func applyAll(t *testing.T, d peer.Digests) {
 	known := map[string]rack.Digest{}
 	for _, c := range d.Changes {
 		if next, ok := c.Apply(known[c.Rack]); ok {
 			known[c.Rack] = next
 		}
 		if c.Base != 0 && known[c.Rack].Sequence != c.Sequence && known[c.Rack].Epoch == c.Epoch && known[c.Rack].Sequence == c.Base {
-			f.Fatalf("change %+v was not applied to %+v", c, known[c.Rack])
+			t.Fatalf("change %+v was not applied to %+v", c, known[c.Rack])
 		}
 	}
 }
