--- /dev/null
+++ b/cell/rule_route_test.go
@@ -0,0 +1,86 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// ROUTE: a queue is sent to another service while its tasks wait.
+func TestQueueThatWasMovedStartsAtItsNewService(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Plain", 7, nil))
+	c.Assert(w.starts, qt.HasLen, 5)
+	next := catalogue()
+	next.Version = 2
+	next.Queues[0].Service = "T"
+	w.SetCatalogue(next)
+	f := w.addWorker("z0", "r0")
+	f.Service = "T"
+	w.WorkerSeen(w.now, f.Worker)
+	w.workers["w0"].endAll(cell.EndedDone)
+	w.reportAll()
+	c.Assert(w.startedOn(id(1))[5:], qt.DeepEquals, []string{"z0", "z0"})
+}
+
+// ROUTE, CONFIG: a queue is dropped while its tasks wait.
+func TestQueueThatWasDroppedStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Plain", 7, nil))
+	next := catalogue()
+	next.Version, next.Queues = 2, next.Queues[1:]
+	w.SetCatalogue(next)
+	// A worker without a service is no place for a queue without one.
+	f := w.addWorker("w9", "r0")
+	f.Service = ""
+	w.WorkerSeen(w.now, f.Worker)
+	w.workers["w0"].endAll(cell.EndedDone)
+	w.reportAll()
+	w.pass(2 * second)
+	c.Assert(w.starts, qt.HasLen, 5)
+}
+
+// CONFIG: an older version that comes late brings a route back that was changed.
+func TestOlderCatalogueStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	next := catalogue()
+	next.Version, next.Queues = 2, next.Queues[1:]
+	w.SetCatalogue(next)
+	w.SetCatalogue(catalogue())
+	w.submit(job(id(1), "Plain", 1, nil))
+	w.pass(second)
+	c.Assert(w.starts, qt.HasLen, 0)
+}
+
+// ROUTE: the members of a gang are placed at once, so that none of them counts as there yet.
+func TestMostPerWorkerHoldsWithinAGang(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2)
+	w.submit(job(id(1), "Plain", 4, func(s *workload.Step) { s.Gang, s.MaxPerWorker = true, 2 }))
+	on := map[string]int{}
+	for _, worker := range w.startedOn(id(1)) {
+		on[worker]++
+	}
+	c.Assert(on, qt.DeepEquals, map[string]int{"w0": 2, "w1": 2})
+}
+
+// ROUTE: a run under an earlier owner is one of those on its worker.
+func TestMostPerWorkerCountsEarlierRuns(t *testing.T) {
+	c := qt.New(t)
+	earlier := newWorld(1)
+	earlier.submit(job(id(1), "Plain", 3, func(s *workload.Step) { s.MaxPerWorker = 2 }))
+	w := newWorld(1)
+	w.now, w.workers = earlier.now, earlier.workers
+	w.Restore(w.now, w.now+second, earlier.jobs[id(1)], earlier.progress[id(1)])
+	w.reportAll()
+	w.pass(second)
+	c.Assert(w.starts, qt.HasLen, 0)
+	w.endOne(earlier.starts[0].Task, cell.EndedDone)
+	c.Assert(w.starts, qt.HasLen, 1)
+}
