--- /dev/null
+++ b/cell/rule_harm_test.go
@@ -0,0 +1,60 @@
+package cell_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// beside is a world of one worker with a service and a task that fills beside it.
+func beside() *world {
+	w := newWorld(1)
+	w.submit(job(id(1), "Plain", 1, func(s *workload.Step) { s.Daemon, s.LatencyTarget = true, 100*ms }))
+	w.submit(job(id(2), "Plain", 1, func(s *workload.Step) { s.Fills = true }))
+	return w
+}
+
+// reportTail passes a second, reports a tail latency of the service in milliseconds, and
+// returns the shares that are ordered.
+func (w *world) reportTail(tail float64) []int {
+	w.now += second
+	f := w.workers["w0"]
+	for i, r := range f.running {
+		if r.Task.Job == id(1) {
+			f.running[i].Measure = tail
+		}
+	}
+	w.Granted(w.now, "w0")
+	w.Heard(w.now, w.now, "w0", cell.Report{Life: f.Life, Running: f.running, Complete: true})
+	actions, _, _ := w.Take()
+	var shares []int
+	for _, p := range actions.Paces {
+		shares = append(shares, p.Percent)
+	}
+	return shares
+}
+
+// HARM: the service stays over its target whatever little works beside it.
+func TestWhatFillsStopsBesideAServiceInNeed(t *testing.T) {
+	c := qt.New(t)
+	w := beside()
+	var shares []int
+	for range 6 {
+		shares = append(shares, w.reportTail(150)...)
+	}
+	c.Assert(shares, qt.DeepEquals, []int{40, 16, 0})
+}
+
+// HARM: one good figure, which is rough, is no leave to work more.
+func TestWhatFillsWaitsUntilAServiceIsWellForAWhile(t *testing.T) {
+	c := qt.New(t)
+	w := beside()
+	c.Assert(w.reportTail(150), qt.DeepEquals, []int{40})
+	for range 5 {
+		c.Assert(w.reportTail(10), qt.HasLen, 0)
+		c.Assert(w.reportTail(80), qt.HasLen, 0)
+	}
+}
