--- a/cell/answers_property_test.go
+++ b/cell/answers_property_test.go
@@ -44,8 +44,8 @@
 		return
 	}
 	tr.submitted++
-	gang := rapid.Bool().Draw(tr.t, "gang")
-	tr.submit(job(id(tr.submitted), "Advised", rapid.IntRange(1, 3).Draw(tr.t, "tasks"), func(s *workload.Step) {
+	gang, queue := rapid.Bool().Draw(tr.t, "gang"), rapid.SampledFrom([]string{"Advised", "Advised", "Plain"}).Draw(tr.t, "queue")
+	tr.submit(job(id(tr.submitted), queue, rapid.IntRange(1, 5).Draw(tr.t, "tasks"), func(s *workload.Step) {
 		s.Gang, s.Size.Processors = gang, int64(rapid.IntRange(1, 9).Draw(tr.t, "processors"))*task.Processor
 	}))
 }
@@ -118,7 +118,7 @@
 	tr.step()
 }
 
-// Whatever became of workers and answers, all steps that need advice come to an end once
+// Whatever became of workers and answers, all steps, with advice or without, come to an end once
 // workers stay and answers come. Of the workers some never come back: only what these alone
 // could run waits on, and keeps nothing else.
 func TestAllAdvisedJobsEndAfterTrouble(t *testing.T) {
@@ -162,7 +162,7 @@
 func (tr *answerTrial) canRun(id string, from int) bool {
 	s, slots := tr.jobs[id].Steps[0], 0
 	for n := from; n < answerWorkers; n++ {
-		if f := tr.workers[fmt.Sprintf("w%d", n)]; good(f.ID, id) {
+		if f := tr.workers[fmt.Sprintf("w%d", n)]; tr.jobs[id].Queue == "Plain" || good(f.ID, id) {
 			slots += int(f.Capacity.Processors / s.Size.Processors)
 		}
 	}
