--- a/advice/desk.go
+++ b/advice/desk.go
@@ -64,6 +64,11 @@
 	d.waiting = append(d.waiting, q)
 }
 
+// Drop forgets the questions of a job that wait: nobody needs their answers.
+func (d *Desk) Drop(job string) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(q cell.Question) bool { return q.Step.Job == job })
+}
+
 // Answered takes a question off its host. An answer to an earlier owner may be about the
 // same step, but other workers.
 func (d *Desk) Answered(now time.Duration, host string, q cell.Question) {
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -102,6 +102,7 @@
 			continue
 		}
 		o.records.abandon(id)
+		o.desk.Drop(id)
 		delete(o.fresh, id)
 		for _, reply := range replies {
 			o.refuse(now, reply)
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -143,3 +143,12 @@
 
 // Waves returns what is to be recorded of waves.
 func (o *Owner) Waves() []upkeep.Progress { return o.records.waves }
+
+// Dispatch is dispatch.
+func (o *Owner) Dispatch(ctx context.Context) { o.dispatch(ctx) }
+
+// Questions returns how many questions wait.
+func (o *Owner) Questions() int { return o.desk.Depth() }
+
+// Catalogue puts a version of the operator's queues in force.
+func (o *Owner) Catalogue(c workload.Catalogue) { o.cell.SetCatalogue(c) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -318,6 +318,7 @@
 		_, earlier := o.records.finished.get(c.Job.ID)
 		o.records.add(time.Now().UnixMilli(), c)
 		if c.Progress.State.Final() && !earlier {
+			o.desk.Drop(c.Job.ID)
 			o.pendingFinal[c.Job.ID] = true
 			o.effects = append(o.effects, func() { delete(o.pendingFinal, c.Job.ID) })
 		}
