rackowner: two quick hand-overs of a rack leave no doubt without a cause

The instance of the agent is in the digests, but

- an owner that hands the rack on before it has heard a worker told none, and
- a worker that was heard before the digest of the owner before came was in doubt for good.

An owner now tells the instance that owners before it have heard until it hears the worker itself. What it heard first under its epoch is compared with what owners before heard whenever either comes, and so is the doubt that it tells the next owner. An agent that is the same has forgotten nothing; with another one, or none told, the answer stays unknown.

Ruled out: a hand-over that waits for placements on their way (a Place is lost with its link too); a note of placements that never came (only the worker knows of those that the owner before sent on).

Tests changed: schedule_test.go draws whether the last digest of the owner before comes in time or later; nothing is checked less.

--- a/rack/digest.go
+++ b/rack/digest.go
@@ -25,7 +25,8 @@
 	State    WorkerState `cbor:"2,keyasint"`
 	Capacity task.Size   `cbor:"3,keyasint"`
 	Free     task.Size   `cbor:"4,keyasint"`
-	// Instance differs after a restart of the worker's agent; 0 is not known.
+	// Instance is the agent that was heard last, by the rack's owner or one before;
+	// it differs after a restart. 0 is not known.
 	Instance uint64 `cbor:"5,keyasint,omitempty"`
 }
 
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// SetInstance notes which instance of a known worker's agent was heard.
+// SetInstance notes which instance of a known worker's agent was heard last, by this
+// owner or one before.
 func (r *Rack) SetInstance(id string, instance uint64) {
 	if h := r.worker(id); h != nil && h.instance != instance {
 		h.instance = instance
--- a/rackowner/owner.go
+++ b/rackowner/owner.go
@@ -109,11 +109,11 @@
 	}
 	r.complete = r.complete || before.Epoch == r.decided && !before.Partial
 	r.tellPartial()
-	r.doubt(before.DoubtBelow)
 	for _, w := range before.Workers {
-		r.before[w.ID] = w.Instance
 		o.expect(now, r, w.ID)
+		r.heardBefore(w)
 	}
+	r.inheritDoubt(before)
 }
 
 // Alone notes that nobody who owned a rack before an epoch renews leases of its
--- a/rackowner/rack.go
+++ b/rackowner/rack.go
@@ -34,12 +34,15 @@
 	// alone is since when no owner before renews leases of the workers; zero if
 	// that is not known.
 	alone time.Time
-	// before holds the instances of the workers' agents in the last digest of
-	// the owner before.
+	// before holds the instances of the workers' agents that owners before have
+	// heard, as their digests tell.
 	before map[string]uint64
 	// doubtBelow is the epoch under which attempts may have run that nothing
 	// here knows of; it never falls. 0 is no doubt.
 	doubtBelow uint64
+	// inherited is the last digest of the owner before. What it doubts counts
+	// until a later digest of that owner replaces it.
+	inherited rack.Digest
 	// lost counts the placements that are onlyHere.
 	lost int
 	// told is the sequence of the last digest that was told.
@@ -55,8 +58,11 @@
 	leaving bool
 	// synced tells that what the worker holds is known under this epoch.
 	synced bool
-	// instance is the agent that was heard last; 0 is none.
-	instance uint64
+	// instance is the agent that was heard last, and first the one that was heard
+	// first under this epoch; 0 is none.
+	instance, first uint64
+	// old tells that the first agent had been up for more than RestartDoubt.
+	old bool
 	// gone tells that the leases of the worker have lapsed since it was last
 	// heard.
 	gone bool
@@ -150,66 +156,10 @@
 	return r.decided == 0 || !r.alone.IsZero() && now.Sub(r.alone) > worker.LapseLength
 }
 
-// mayHaveRun reports whether an attempt that is not known here may have started
-// under an earlier owner and ended since: the agent of a worker restarted, or its
-// leases lapsed, before an owner heard from it that came after the start.
-// Only under the epoch in which its start was asked for can an attempt have
-// started; sentUnder is 0 if that is not known.
-func (r *ownedRack) mayHaveRun(sentUnder uint64) bool {
-	r.doubtUnheard()
-	return sentUnder < r.doubtBelow
-}
-
-// doubtUnheard notes the doubt about workers that are gone and were not heard
-// under this epoch.
-func (r *ownedRack) doubtUnheard() {
-	for _, m := range r.workers {
-		if m.gone && m.instance == 0 {
-			r.doubtBefore()
-		}
-	}
-}
-
-// doubtBefore notes that what was asked of earlier owners may have run unknown to
-// this one. What was asked of this owner, it knows.
-func (r *ownedRack) doubtBefore() {
-	if r.decided > 0 {
-		r.doubt(r.rack.Epoch())
-	}
-}
-
-// doubt notes that attempts may have run that nothing here knows of, of those that
-// were asked for under an epoch below the given one.
-func (r *ownedRack) doubt(below uint64) {
-	r.doubtBelow = max(r.doubtBelow, below)
-	r.tellDoubt()
-}
-
 // tellPartial tells the next owner whether the rack may have workers that this one
 // does not know of.
 func (r *ownedRack) tellPartial() { r.rack.SetPartial(!r.complete) }
 
-// tellDoubt tells the next owner what it will not know. It knows nothing of ends
-// that are remembered only here.
-func (r *ownedRack) tellDoubt() {
-	below := r.doubtBelow
-	if r.lost > 0 {
-		below = r.rack.Epoch() + 1
-	}
-	r.rack.SetDoubt(below)
-}
-
-// onlyHere notes that no worker remembers an end. While there is one that nobody
-// has acknowledged, the next owner must know that it may miss some.
-func (r *ownedRack) onlyHere(p *placement) {
-	if p.onlyHere {
-		return
-	}
-	p.onlyHere = true
-	r.lost++
-	r.tellDoubt()
-}
-
 func (r *ownedRack) forgetRefused(now time.Time) {
 	for id, until := range r.refused {
 		if now.After(until) {
--- a/rackowner/schedule_test.go
+++ b/rackowner/schedule_test.go
@@ -71,6 +71,8 @@
 	// owner of the partition has told to forget the end.
 	digest    rack.Digest
 	forgotten map[task.AttemptID]bool
+	// late is the last digest of the owner before, if it is still on its way.
+	late rack.Digest
 	// placed holds the attempts whose Place or Hold was sent. It may come after
 	// a Withdraw or Settle that overtook it.
 	placed map[task.AttemptID]bool
@@ -94,17 +96,27 @@
 	return s
 }
 
-// takeOver gives the rack to an owner that knows nothing.
+// takeOver gives the rack to an owner that knows nothing but the last digest of the
+// owner before, or learns that later.
 func (s *schedule) takeOver() {
 	s.epoch++
 	s.renewable = s.epoch > 1
 	s.wires = map[string]*wire{}
 	s.owner = rackowner.New(s, s.claims)
-	s.owner.Saw(s.now, s.digest)
+	s.late = s.digest
+	if rapid.Bool().Draw(s.t, "digest in time") {
+		s.lateDigest()
+	}
 	s.owner.List(s.now, s.hosts, nil)
 	s.owner.Claim(s.now, "r1", s.epoch)
 }
 
+// lateDigest tells the owner the last digest of the one before.
+func (s *schedule) lateDigest() {
+	s.owner.Saw(s.now, s.late)
+	s.late = rack.Digest{}
+}
+
 // The methods below implement rackowner.Port.
 
 func (s *schedule) Open(_ string, _ uint64, h tablestore.Host) { s.wires[h.ID] = &wire{heard: s.now} }
@@ -137,7 +149,7 @@
 	defer s.owner.Tell()
 	id := rapid.SampledFrom(slices.Sorted(maps.Keys(s.machines))).Draw(s.t, "worker")
 	m, w := s.machines[id], s.wires[id]
-	switch rapid.IntRange(0, 15).Draw(s.t, "step") {
+	switch rapid.IntRange(0, 16).Draw(s.t, "step") {
 	case 0, 1, 2:
 		s.command()
 	case 3, 4, 5, 6:
@@ -163,6 +175,8 @@
 	case 15:
 		s.renewable = false
 		s.owner.Alone(s.now, "r1", s.epoch)
+	case 16:
+		s.lateDigest()
 	}
 }
 
--- a/rackowner/worker.go
+++ b/rackowner/worker.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/vanillaquay/vanillaquay/decision"
 	"github.com/vanillaquay/vanillaquay/rack"
 	"github.com/vanillaquay/vanillaquay/tablestore"
@@ -91,6 +89,7 @@
 			continue
 		}
 		r.doubtUnheard()
+		r.doubtDropped(id, m)
 		r.dropped(id)
 		o.port.Close(r.name, id)
 		delete(r.workers, id)
@@ -117,11 +116,12 @@
 	if m.leaving {
 		state = rack.Leaving
 	}
-	o.noteInstance(r, m, id, i)
+	r.noteInstance(m, i)
 	m.synced, m.gone = true, false
 	m.capacity = positive(i.Capacity)
 	r.rack.SetWorker(id, state, m.capacity)
 	r.rack.SetInstance(id, m.instance)
+	r.tellDoubt()
 	present := map[task.AttemptID]bool{}
 	for _, a := range i.Attempts {
 		present[a.ID] = true
@@ -138,21 +138,6 @@
 	}
 }
 
-// noteInstance tells whether the agent may have restarted between the owner
-// before and this one, which forgets what ran there.
-func (o *Owner) noteInstance(r *ownedRack, m *ownedWorker, id string, i worker.Inventory) {
-	instance := max(xxhash.Sum64String(i.Instance), 1)
-	if m.instance == 0 {
-		before := r.before[id]
-		same := before == instance
-		old := before == 0 && i.Clock > RestartDoubt
-		if !same && !old || m.gone {
-			r.doubtBefore()
-		}
-	}
-	m.instance = instance
-}
-
 // adoptAttempt takes over one attempt of an inventory.
 func (o *Owner) adoptAttempt(now time.Time, r *ownedRack, id string, a worker.Attempt) {
 	p, known := r.attempts[a.ID]
