cell: names and answers that are not known do no harm

An answer to an order that is not known counted as a refusal, so that the task started elsewhere while its order may have been carried out; it counts as no answer.

--- a/cell/job.go
+++ b/cell/job.go
@@ -185,19 +185,22 @@
 
 func (j *job) stepOf(occurrence, place int) *step { return j.steps[occurrence*len(j.Steps)+place] }
 
-// find returns the step and task with a name, or nil.
+// find returns the step and task with a name, or nil. Names come from other processes.
 func (c *Cell) find(id workload.TaskID) (*step, *taskRecord) {
 	j := c.jobs[id.Job]
-	if j == nil || id.Occurrence >= j.due || id.Step >= len(j.Steps) {
+	if j == nil || !within(id.Occurrence, j.due) || !within(id.Step, len(j.Steps)) {
 		return nil, nil
 	}
 	s := j.stepOf(id.Occurrence, id.Step)
-	if id.Index >= len(s.tasks) {
+	if !within(id.Index, len(s.tasks)) {
 		return nil, nil
 	}
 	return s, s.tasks[id.Index]
 }
 
+// within reports whether a place is one of a number of places.
+func within(place, places int) bool { return place >= 0 && place < places }
+
 // finish gives a job its last state and withdraws what still runs.
 func (c *Cell) finish(now time.Duration, j *job, state workload.State, why string) {
 	if j.state.Final() {
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -19,12 +19,11 @@
 	c.jobs[j.ID] = j
 	c.makeDue(j.since, j)
 	for _, s := range p.Steps {
-		place := s.Occurrence*len(j.Steps) + s.Step
-		if s.Step >= len(j.Steps) || place >= len(j.steps) {
+		if !within(s.Occurrence, j.due) || !within(s.Step, len(j.Steps)) {
 			c.note(Note{What: "record ignored", Job: j.ID, Why: "it names a step that the job lacks"})
 			continue
 		}
-		c.restoreStep(now, bound, j.steps[place], s)
+		c.restoreStep(now, bound, j.stepOf(s.Occurrence, s.Step), s)
 	}
 	if j.state.Final() {
 		// The earlier owner may not have stopped them.
--- a/cell/run.go
+++ b/cell/run.go
@@ -136,13 +136,14 @@
 		c.apply(r, "Accepted")
 		c.begin(now, r)
 		return
-	case NoAnswer:
+	case NoRoom, BadTicket, Superseded, TooLate, Fenced, OtherLife, Unwell, Invalid, Unreached, Unsent:
+		c.apply(r, "Refused")
+		c.refused(now, w, r, answer)
+	default:
+		// One that is not known, from a carrier of another version, says nothing either.
 		c.apply(r, "NoAnswer")
 		w.strike(now)
 		c.actions.Looks = append(c.actions.Looks, Look{worker})
-	default:
-		c.apply(r, "Refused")
-		c.refused(now, w, r, answer)
 	}
 	c.note(Note{What: "start " + string(answer), Job: id.Job, Task: id.String(), Run: number, Worker: worker, Age: now - r.placedAt})
 	if r.state == closed {
