--- a/cell/load.go
+++ b/cell/load.go
@@ -11,6 +11,8 @@
 	// Steps counts the steps with tasks that wait, Gangs those that are gangs, and
 	// Unadvised those that wait for a first answer about their workers.
 	Steps, Gangs, Unadvised int
+	// Unrouted counts the steps that wait for the operator's queue, which is not known.
+	Unrouted int
 	// Wanted is what the tasks that wait would take, in thousandths of a processor.
 	Wanted int64
 	Jobs   int
@@ -31,6 +33,9 @@
 		if s.Gang {
 			l.Gangs++
 		}
+		if !s.routed {
+			l.Unrouted++
+		}
 		if s.queue.Advice != nil && !s.tickets.known() {
 			l.Unadvised++
 		}
