--- a/breakdown/group.go
+++ b/breakdown/group.go
@@ -30,8 +30,8 @@
 	Lost map[Phase]int
 	// Spent is the time that the jobs were in each phase, as far as is known.
 	Spent map[Phase]time.Duration
-	// Payoff is what the jobs are worth, Forgone what the missed ones are.
-	Payoff, Forgone float64
+	// Worth is what the jobs are worth, Forgone what the missed ones are.
+	Worth, Forgone float64
 }
 
 // Missed counts the jobs that were late, lost or are open.
@@ -74,13 +74,13 @@
 		return
 	}
 	g.Jobs++
-	g.Payoff += j.Payoff
+	g.Worth += j.Worth
 	for p, spent := range j.Times {
 		g.Spent[p] += spent
 	}
 	if j.Result.Missed() {
 		g.Lost[j.Lost]++
-		g.Forgone += j.Payoff
+		g.Forgone += j.Worth
 	}
 }
 
--- a/breakdown/job.go
+++ b/breakdown/job.go
@@ -22,8 +22,8 @@
 	Times map[Phase]time.Duration
 	// Runs counts the runs by how they ended.
 	Runs map[string]int
-	// Payoff is what the job is worth, 0 if the logs don't say.
-	Payoff float64
+	// Worth is what the job is worth, 0 if the logs don't say.
+	Worth float64
 }
 
 // track follows one job through the lines, which come in any order.
@@ -103,8 +103,8 @@
 	if l.Work != nil {
 		t.work = *l.Work
 	}
-	if l.Payoff != nil {
-		t.Payoff = *l.Payoff
+	if l.Worth != nil {
+		t.Worth = *l.Worth
 	}
 }
 
--- a/breakdown/line.go
+++ b/breakdown/line.go
@@ -52,12 +52,12 @@
 	AwayMS   float64 `json:"away_ms"`
 	CommitMS float64 `json:"commit_ms"`
 	// AimMS is the objective of a job in milliseconds, Work its estimate in
-	// processor-seconds, Payoff what it is worth. SentMS is how long after its placement
+	// processor-seconds, Worth what it is worth. SentMS is how long after its placement
 	// the order of a run left, UnheardMS how long before the line the run may have ended.
 	// Each is nil on lines that lack it.
 	AimMS     *float64 `json:"aim_ms"`
 	Work      *float64 `json:"work_s"`
-	Payoff    *float64 `json:"payoff"`
+	Worth     *float64 `json:"worth"`
 	SentMS    *float64 `json:"sent_ms"`
 	UnheardMS *float64 `json:"unheard_ms"`
 }
--- a/breakdown/plot.go
+++ b/breakdown/plot.go
@@ -45,7 +45,7 @@
 }
 
 // Plot draws as SVG what was served and lost in each second of first calls, with windows and
-// the kinds of their events. It counts payoff if the logs have it, or else jobs. Untraced
+// the kinds of their events. It counts worth if the logs have it, or else jobs. Untraced
 // and cancelled jobs are left out.
 func (r Report) Plot(output io.Writer, windows []Window) error {
 	var drawn bytes.Buffer
@@ -69,8 +69,8 @@
 func (r Report) bars() ([]bar, string) {
 	unit, worth := "jobs", func(Job) float64 { return 1 }
 	for _, j := range r.Jobs {
-		if j.Payoff > 0 {
-			unit, worth = "payoff", func(j Job) float64 { return j.Payoff }
+		if j.Worth > 0 {
+			unit, worth = "worth", func(j Job) float64 { return j.Worth }
 		}
 	}
 	var bars []bar
--- a/breakdown/plot_test.go
+++ b/breakdown/plot_test.go
@@ -42,12 +42,12 @@
 	qt.Assert(t, texts[0].Text, qt.Equals, "0: WorkerDrains")
 	qt.Assert(t, strings.Contains(texts[len(texts)-1].Text, "jobs served"), qt.IsTrue)
 
-	rows = append(rows, row(1100, "cell: job submitted", `"job":"a","why":"q","payoff":1`))
-	rows = append(rows, row(1100, "cell: job submitted", `"job":"c","why":"q","payoff":3`))
+	rows = append(rows, row(1100, "cell: job submitted", `"job":"a","why":"q","worth":1`))
+	rows = append(rows, row(1100, "cell: job submitted", `"job":"c","why":"q","worth":3`))
 	rects, texts = draw(t, read(t, rows...))
 	qt.Assert(t, rects[1].Height, qt.Equals, 75)
 	qt.Assert(t, rects[2].Height, qt.Equals, 225)
-	qt.Assert(t, strings.Contains(texts[len(texts)-1].Text, "payoff served"), qt.IsTrue)
+	qt.Assert(t, strings.Contains(texts[len(texts)-1].Text, "worth served"), qt.IsTrue)
 }
 
 func TestPlotOfNothing(t *testing.T) {
--- a/breakdown/result_test.go
+++ b/breakdown/result_test.go
@@ -62,7 +62,7 @@
 	rows := []string{row(0, "front: started", `"zone":"z1"`)}
 	for i := range 10 {
 		id := fmt.Sprint("j", i)
-		rows = append(rows, job(id, fmt.Sprintf(`,"work_s":%d,"payoff":2`, i+1))...)
+		rows = append(rows, job(id, fmt.Sprintf(`,"work_s":%d,"worth":2`, i+1))...)
 	}
 	rows = append(rows, call("r", "Overloaded"), strings.Replace(call("u", "Unavailable"), "e1", "e2", 1))
 	report := read(t, rows...)
@@ -82,7 +82,7 @@
 	qt.Assert(t, zones[1].Jobs, qt.Equals, 11)
 	qt.Assert(t, zones[1].Missed(), qt.Equals, 1)
 	qt.Assert(t, zones[1].Lost, qt.DeepEquals, map[breakdown.Phase]int{breakdown.Acceptance: 1})
-	qt.Assert(t, zones[1].Payoff, qt.Equals, 20.0)
+	qt.Assert(t, zones[1].Worth, qt.Equals, 20.0)
 	qt.Assert(t, zones[1].Forgone, qt.Equals, 0.0)
 
 	seconds := report.Groups(breakdown.BySecond)
--- a/breakdown/text.go
+++ b/breakdown/text.go
@@ -44,12 +44,12 @@
 	fmt.Fprintln(w)
 }
 
-// forgone returns the payoff that was lost, if the logs have any.
+// forgone returns the worth that was lost, if the logs have any.
 func forgone(g Group) string {
-	if g.Payoff == 0 {
+	if g.Worth == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%.1f of %.1f", g.Forgone, g.Payoff)
+	return fmt.Sprintf("%.1f of %.1f", g.Forgone, g.Worth)
 }
 
 // lostIn counts the lost jobs of a group by phase.
--- a/breakdown/text_test.go
+++ b/breakdown/text_test.go
@@ -13,7 +13,7 @@
 
 func TestWriteText(t *testing.T) {
 	rows := []string{row(0, "front: started", `"zone":"z1"`)}
-	rows = append(rows, job("a", `,"work_s":2,"payoff":3,"aim_ms":9000`)...)
+	rows = append(rows, job("a", `,"work_s":2,"worth":3,"aim_ms":9000`)...)
 	rows = append(rows, call("b", "Unavailable"), row(1200, "cell: worker drains", `"worker":"w"`), "{", "foreign")
 	report := read(t, rows...)
 	var text strings.Builder
--- a/breakdown/window.go
+++ b/breakdown/window.go
@@ -34,7 +34,7 @@
 	Longest time.Duration
 }
 
-// Worst returns the windows in which most was lost, the worst first: by payoff if the
+// Worst returns the windows in which most was lost, the worst first: by worth if the
 // logs have it, or else by jobs.
 func (r Report) Worst(n int) []Window {
 	windows := r.windows()
--- a/breakdown/window_test.go
+++ b/breakdown/window_test.go
@@ -100,8 +100,8 @@
 }
 
 func TestWorstWindows(t *testing.T) {
-	refused := func(id string, ms int, payoff string) string {
-		return row(ms, "intake: call answered", `"job":"`+id+`","queue":"q","verb":"Submit","outcome":"Unavailable","ms":0`+payoff)
+	refused := func(id string, ms int, worth string) string {
+		return row(ms, "intake: call answered", `"job":"`+id+`","queue":"q","verb":"Submit","outcome":"Unavailable","ms":0`+worth)
 	}
 	begins := func(windows []breakdown.Window) []time.Duration {
 		var all []time.Duration
@@ -117,7 +117,7 @@
 	qt.Assert(t, begins(report.Worst(1)), qt.DeepEquals, []time.Duration{4 * time.Second})
 
 	// What was lost goes before how many, where the logs tell it.
-	report = read(t, start, refused("a", 500, `,"payoff":9`), refused("b", 4500, `,"payoff":1`), refused("c", 5500, `,"payoff":1`))
+	report = read(t, start, refused("a", 500, `,"worth":9`), refused("b", 4500, `,"worth":1`), refused("c", 5500, `,"worth":1`))
 	qt.Assert(t, begins(report.Worst(5)), qt.DeepEquals, []time.Duration{0, 4 * time.Second})
 }
 
