--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,91 @@
+// Command soak runs entry hosts as processes among stand-ins, disturbs them with faults
+// drawn from a seed, and checks the rules of the users' platform. It exits with 1 when one
+// is broken, and with 2 when the run could not be made.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/soak"
+)
+
+// Exit statuses.
+const (
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// command is the command line.
+type command struct {
+	Seed      uint64        `help:"Seed of the faults and of the callers." default:"1"`
+	Length    time.Duration `help:"How long faults are made." default:"30s"`
+	Hosts     int           `help:"How many entry hosts run, each a process." default:"6"`
+	Workers   int           `help:"How many workers there are." default:"8"`
+	Callers   int           `help:"How many callers there are." default:"8"`
+	Program   string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
+	Report    string        `help:"File that takes the report." default:"soak.json" type:"path"`
+	Directory string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
+	Verbose   bool          `help:"Log each fault."`
+}
+
+func main() {
+	var c command
+	kong.Parse(&c, kong.Name("soak"), kong.Description("Disturbs entry hosts and checks the rules of the users' platform."))
+	os.Exit(c.run())
+}
+
+// run makes the run and returns the exit status.
+func (c command) run() int {
+	if c.Verbose {
+		logrus.SetLevel(logrus.DebugLevel)
+	}
+	directory, err := c.makeDirectory()
+	if err != nil {
+		logrus.WithError(err).Error("soak: no directory")
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := soak.Run(ctx, soak.Options{
+		Seed: c.Seed, Length: c.Length, Hosts: c.Hosts, Workers: c.Workers, Callers: c.Callers,
+		Program: []string{c.Program, "front"}, Directory: directory,
+	})
+	if err != nil {
+		logrus.WithError(err).WithField("directory", directory).Error("soak: the run could not be made")
+		return exitFailed
+	}
+	if err := report.Write(c.Report); err != nil {
+		logrus.WithError(err).Error("soak: no report")
+		return exitFailed
+	}
+	fields := logrus.Fields{
+		"seed": c.Seed, "faults": len(report.Disturbances), "jobs": report.Jobs, "accepted": report.Accepted, "rejected": report.Rejected,
+		"cancelled": report.Cancelled, "starts": report.Starts, "calls": report.Calls, "took": report.Took,
+	}
+	if report.Violation != nil {
+		logrus.WithFields(fields).WithFields(logrus.Fields{"report": c.Report, "directory": directory}).Error("soak: a rule was broken")
+		return exitBroken
+	}
+	logrus.WithFields(fields).Info("soak: no rule was broken")
+	if c.Directory == "" {
+		if err := os.RemoveAll(directory); err != nil {
+			logrus.WithError(err).Warn("soak: directory not removed")
+		}
+	}
+	return 0
+}
+
+// makeDirectory returns the directory of the run.
+func (c command) makeDirectory() (string, error) {
+	if c.Directory == "" {
+		return os.MkdirTemp("", "soak-")
+	}
+	return c.Directory, os.MkdirAll(c.Directory, 0o700)
+}
--- a/proxytest/proxy.go
+++ b/proxytest/proxy.go
@@ -2,10 +2,12 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 )
 
@@ -26,6 +28,8 @@
 	changed  *sync.Cond
 	// limiter paces what comes for the target; nil does not.
 	limiter *rate.Limiter
+	// delay is how long each part waits before it is passed on, in both directions.
+	delay time.Duration
 }
 
 // flow is one connection through a proxy.
@@ -45,14 +49,24 @@
 
 // New returns a proxy to a target, which passes everything on until Close.
 func New(t testing.TB, target string) *Proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := Listen("127.0.0.1:0", target)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return p
+}
+
+// Listen returns a proxy from an address to a target, which passes everything on until
+// Close. The error is that of the listener.
+func Listen(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "proxy to %s", target)
+	}
 	p := &Proxy{listener: l, target: target}
 	p.changed = sync.NewCond(&p.mu)
 	p.wait.Go(p.accept)
-	return p
+	return p, nil
 }
 
 // Address returns where the proxy listens.
@@ -90,6 +104,7 @@
 // carry passes one direction on. The end of a silent direction is not passed on
 // either.
 func (p *Proxy) carry(f *flow, from, to net.Conn) {
+	defer p.forget(f)
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
@@ -97,6 +112,7 @@
 		if !silent && from == f.near {
 			p.pace(n)
 		}
+		p.lag()
 		switch {
 		case err != nil && silent:
 			return
@@ -140,6 +156,24 @@
 	}
 }
 
+// lag waits for as long as the connections are delayed.
+func (p *Proxy) lag() {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// forget drops a connection that has ended, unless a silent direction of it goes on.
+func (p *Proxy) forget(f *flow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.there || f.back || f.holding {
+		return
+	}
+	p.flows = slices.DeleteFunc(p.flows, func(other *flow) bool { return other == f })
+}
+
 func (p *Proxy) each(change func(f *flow)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -190,6 +224,13 @@
 	p.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond), bufferSize)
 }
 
+// Delay makes each part that passes wait, in both directions; 0 ends that.
+func (p *Proxy) Delay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
 // Held returns how many bytes of the first connection are held.
 func (p *Proxy) Held() int {
 	p.mu.Lock()
--- /dev/null
+++ b/soak/cell.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/proxytest"
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+const (
+	callerPort, readyPort = 18161, 18167
+	peerPort, workerPort  = 17720, 17000
+	// Of the addresses 127.N.V.X, those with V = realView are where programs listen; those
+	// with V = firstView + I are proxies for what host I calls. X is firstWorker + J for a
+	// worker and firstHost + J for a host.
+	realView, firstView    = 100, 101
+	firstWorker, firstHost = 1, 101
+	// processorsPerWorker is in thousandths.
+	processorsPerWorker = 8000
+	// statusKept is how long states are told, in seconds.
+	statusKept = 120
+	// headerTimeout bounds the reading of a header by a stand-in.
+	headerTimeout = 5 * time.Second
+)
+
+// cell is a whole deployment: hosts are processes, all else is a stand-in here.
+type cell struct {
+	// network is the second byte of all addresses.
+	network   int
+	directory string
+	rows      *platformstandin.Rows
+	floor     *workerstandin.Floor
+	workers   []*workerstandin.Runner
+	hosts     []*process
+	// Of the links of each host, those to the store, to each worker and to each host.
+	storeLinks  []*proxytest.Proxy
+	workerLinks [][]*proxytest.Proxy
+	hostLinks   [][]*proxytest.Proxy
+	servers     []*http.Server
+	advice      string
+	machines    string
+}
+
+func (c *cell) address(view, number, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", c.network, view, number, port)
+}
+
+func (c *cell) callerAddress(host int) string {
+	return c.address(realView, firstHost+host, callerPort)
+}
+
+// openCell starts the stand-ins and the proxies; the hosts are not started yet.
+func openCell(o Options, crashed func(string, error)) (*cell, error) {
+	c := &cell{
+		network: 10 + os.Getpid()%200, directory: o.Directory,
+		rows: platformstandin.NewRows(), floor: &workerstandin.Floor{},
+	}
+	for _, open := range []func(Options) error{c.openServices, c.openWorkers, c.openHosts} {
+		if err := open(o); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	for i, h := range c.hosts {
+		h.program, h.crashed = o.Program, crashed
+		if err := c.writeSettings(i, statusKept); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *cell) openServices(Options) error {
+	var err error
+	if c.advice, err = c.serve("127.0.0.1:0", workerstandin.Advisor()); err != nil {
+		return err
+	}
+	fleet := platformstandin.NewFleet(time.Second)
+	c.machines, err = c.serve("127.0.0.1:0", fleet.Handler())
+	return err
+}
+
+func (c *cell) openWorkers(o Options) error {
+	for i := range o.Workers {
+		w := &workerstandin.Runner{
+			ID: fmt.Sprintf("w%d", i), Capacity: processorsPerWorker, Floor: c.floor, Length: time.Second, Size: 1000,
+		}
+		w.Start()
+		if _, err := c.serve(c.address(realView, firstWorker+i, workerPort), w.Handler()); err != nil {
+			return err
+		}
+		c.workers = append(c.workers, w)
+		if err := c.announce(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// announce writes the row of a worker that has just begun.
+func (c *cell) announce(worker int) error {
+	row, err := platformstandin.WorkerDocument(c.address(realView, firstWorker+worker, workerPort), processorsPerWorker, time.Now().UnixMilli())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.rows.Put("servers", c.workers[worker].ID, row)
+	return nil
+}
+
+func (c *cell) openHosts(o Options) error {
+	real := fmt.Sprintf("127.%d.%d.", c.network, realView)
+	for i := range o.Hosts {
+		view := firstView + i
+		own := fmt.Sprintf("127.%d.%d.", c.network, view)
+		store, err := c.serve("127.0.0.1:0", platformstandin.Readdress(c.rows.Handler(), real, own))
+		if err != nil {
+			return err
+		}
+		link, err := proxytest.Listen("127.0.0.1:0", store)
+		if err != nil {
+			return err
+		}
+		c.storeLinks = append(c.storeLinks, link)
+		if err := c.openLinks(view, o); err != nil {
+			return err
+		}
+		name := fmt.Sprintf("h%d", i)
+		c.hosts = append(c.hosts, &process{
+			name: name, ip: fmt.Sprintf("%s%d", real, firstHost+i),
+			settings: filepath.Join(o.Directory, name+".json"), logPath: filepath.Join(o.Directory, name+".log"),
+		})
+	}
+	return nil
+}
+
+// openLinks opens the proxies of a host to workers and to other hosts.
+func (c *cell) openLinks(view int, o Options) error {
+	workers, err := c.links(view, firstWorker, o.Workers, workerPort)
+	if err != nil {
+		return err
+	}
+	hosts, err := c.links(view, firstHost, o.Hosts, peerPort)
+	c.workerLinks, c.hostLinks = append(c.workerLinks, workers), append(c.hostLinks, hosts)
+	return err
+}
+
+func (c *cell) links(view, first, n, port int) ([]*proxytest.Proxy, error) {
+	var links []*proxytest.Proxy
+	for i := range n {
+		link, err := proxytest.Listen(c.address(view, first+i, port), c.address(realView, first+i, port))
+		if err != nil {
+			return links, err
+		}
+		links = append(links, link)
+	}
+	return links, nil
+}
+
+// serve opens a server of a stand-in and returns its address.
+func (c *cell) serve(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Annotate(err, "stand-in")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	c.servers = append(c.servers, s)
+	go func() {
+		// The error is that the server was closed.
+		_ = s.Serve(l)
+	}()
+	return l.Addr().String(), nil
+}
+
+// writeSettings writes the settings file of a host.
+func (c *cell) writeSettings(host, statusSeconds int) error {
+	h := c.hosts[host]
+	content, err := platformstandin.SettingsDocument(platformstandin.HostSettings{
+		Host: h.name, IP: h.ip, CallerAddress: c.callerAddress(host), ReadyAddress: c.address(realView, firstHost+host, readyPort),
+		PeerPort: peerPort, StoreAddress: c.storeLinks[host].Address(), AdviceAddress: c.advice, Machines: c.machines, StatusS: statusSeconds,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	next := h.settings + ".next"
+	if err := os.WriteFile(next, content, 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.Rename(next, h.settings))
+}
+
+// allLinks returns all proxies.
+func (c *cell) allLinks() []*proxytest.Proxy {
+	all := append([]*proxytest.Proxy(nil), c.storeLinks...)
+	for _, group := range [][][]*proxytest.Proxy{c.workerLinks, c.hostLinks} {
+		for _, links := range group {
+			all = append(all, links...)
+		}
+	}
+	return all
+}
+
+// close ends all hosts and stand-ins.
+func (c *cell) close() {
+	for _, h := range c.hosts {
+		h.close()
+	}
+	for _, link := range c.allLinks() {
+		link.Close()
+	}
+	for _, s := range c.servers {
+		// Nothing is to be saved by a slower end.
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+// The bounds of the platform, as its rules give them.
+const (
+	stableWindow  = 4 * time.Second
+	lossSlack     = 200 * time.Millisecond
+	configTime    = 2500 * time.Millisecond
+	cancelTime    = 3 * time.Second
+	stopTime      = 900 * time.Millisecond
+	visibleTime   = 3 * time.Second
+	stateDone     = "done"
+	stateFailed   = "failed"
+	stateCanceled = "cancelled"
+)
+
+// Observed is what was seen from outside the processes until a moment.
+type Observed struct {
+	At           time.Time
+	Jobs         []Job
+	Routes       []Route
+	Disturbances []Disturbance
+	Crashes      []Crash
+	// Events holds what happened at all workers, in order.
+	Events []workerstandin.RunEvent
+}
+
+// Violation is a broken rule.
+type Violation struct {
+	At time.Time
+	// Rule is its name in the rules of the platform.
+	Rule string
+	Text string
+}
+
+// Check returns the broken rules, the earliest first. A rule that needs what comes later
+// may be seen broken only in a later check.
+func Check(o Observed) []Violation {
+	c := &checker{Observed: o, jobs: map[string]*jobView{}}
+	for i := range o.Jobs {
+		c.jobs[o.Jobs[i].ID] = newJobView(&o.Jobs[i])
+	}
+	c.checkRuns()
+	c.checkCalls()
+	c.checkRoutes()
+	for _, crash := range o.Crashes {
+		c.broken(crash.At, "Own ends", "%s ended by itself: %s", crash.Host, crash.Error)
+	}
+	slices.SortStableFunc(c.found, func(a, b Violation) int { return a.At.Compare(b.At) })
+	return c.found
+}
+
+// checker holds what was seen with what follows from it.
+type checker struct {
+	Observed
+	jobs  map[string]*jobView
+	found []Violation
+}
+
+func (c *checker) broken(at time.Time, rule, format string, args ...any) {
+	c.found = append(c.found, Violation{At: at, Rule: rule, Text: fmt.Sprintf(format, args...)})
+}
+
+// inTouch is false for the faults that take machines out of touch.
+func inTouch(k Kind) bool { return k == Hangup || k == ChangeCatalogue }
+
+// isCalm reports whether nothing was disturbed from stableWindow before a time until
+// another, but by the kinds of faults that are left out.
+func (c *checker) isCalm(from, to time.Time, without func(Kind) bool) bool {
+	for _, d := range c.Disturbances {
+		if without(d.Fault.Kind) {
+			continue
+		}
+		hasEnded := !d.To.IsZero() && d.To.Before(from.Add(-stableWindow))
+		if !hasEnded && d.From.Before(to) {
+			return false
+		}
+	}
+	return true
+}
+
+// jobView is a job with what its calls say.
+type jobView struct {
+	*Job
+	// accepted and cancelled are the first acknowledgements, or zero.
+	accepted, cancelled time.Time
+	// cancelSent tells that a cancelling was sent, rejected that each try was turned away.
+	cancelSent, rejected bool
+}
+
+func newJobView(j *Job) *jobView {
+	v := &jobView{Job: j}
+	turnedAway, doubtful := 0, 0
+	for _, call := range j.Calls {
+		switch {
+		case call.Method == http.MethodDelete:
+			v.cancelSent = true
+			if v.cancelled.IsZero() && call.Status == http.StatusOK {
+				v.cancelled = call.Ended
+			}
+		case call.Method != http.MethodPost:
+		case call.Status == http.StatusOK:
+			if v.accepted.IsZero() {
+				v.accepted = call.Ended
+			}
+		case call.Status == http.StatusTooManyRequests || call.Status == http.StatusServiceUnavailable:
+			turnedAway++
+		case !call.Sent.IsZero() || call.Status != 0:
+			doubtful++
+		}
+	}
+	v.rejected = j.Closed && v.accepted.IsZero() && turnedAway > 0 && doubtful == 0
+	return v
+}
+
+// checkCalls holds the answers of callers against the runs.
+func (c *checker) checkCalls() {
+	ends := c.endsOfTasks()
+	for i := range c.Jobs {
+		v := c.jobs[c.Jobs[i].ID]
+		for _, call := range v.Calls {
+			c.checkAnswer(v.ID, call)
+			if call.Method == http.MethodGet {
+				c.checkState(v, call, ends)
+			}
+		}
+	}
+}
+
+// checkAnswer holds one call to the rules about channels and time.
+func (c *checker) checkAnswer(id string, call Call) {
+	if call.Status != 0 || call.Sent.IsZero() {
+		return
+	}
+	text := fmt.Sprintf("%s of %s at host %d, %s after it was sent: %s", call.Method, id, call.Host, call.Ended.Sub(call.Sent), call.Error)
+	switch {
+	case call.Broken && call.Ended.Sub(call.Sent) > lossSlack && c.isCalm(call.Begun, call.Ended, Kind.Planned):
+		c.broken(call.Ended, "LOST", "the channel ended: %s", text)
+	case !call.Broken && c.isCalm(call.Begun, call.Ended, inTouch):
+		c.broken(call.Ended, "Deadline", "no answer: %s", text)
+	}
+}
+
+// checkState holds the state that was told against the ends of the tasks.
+func (c *checker) checkState(v *jobView, call Call, ends map[string][]workerstandin.RunEvent) {
+	switch {
+	case call.Status == http.StatusGone:
+		if !v.accepted.IsZero() && !v.cancelSent && call.Begun.Sub(v.accepted) > visibleTime && c.isCalm(call.Begun, call.Ended, inTouch) {
+			c.broken(call.Ended, "LOST", "%s is not known to host %d, %s after it was accepted", v.ID, call.Host, call.Begun.Sub(v.accepted))
+		}
+	case call.State == stateDone:
+		for _, name := range v.tasks() {
+			if countEnds(ends[name], workerstandin.HowDone, call.Ended) == 0 {
+				c.broken(call.Ended, "MIXED", "%s is shown as done by host %d, and %s has not ended so", v.ID, call.Host, name)
+				return
+			}
+		}
+	case call.State == stateFailed:
+		if !slices.ContainsFunc(v.tasks(), func(name string) bool {
+			return countEnds(ends[name], workerstandin.HowFailed, call.Ended) >= attempts
+		}) {
+			c.broken(call.Ended, "LOST", "%s is shown as failed by host %d without cause", v.ID, call.Host)
+		}
+	case call.State == stateCanceled && !v.cancelSent:
+		c.broken(call.Ended, "LOST", "%s is shown as cancelled by host %d without cause", v.ID, call.Host)
+	}
+}
+
+// tasks returns the names of all tasks of a job.
+func (v *jobView) tasks() []string {
+	var names []string
+	for s, step := range v.Steps {
+		for t := range step.Tasks {
+			names = append(names, taskName(v.ID, s, t))
+		}
+	}
+	return names
+}
+
+func taskName(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
+
+// endsOfTasks returns the ends that workers listed for each task.
+func (c *checker) endsOfTasks() map[string][]workerstandin.RunEvent {
+	ends := map[string][]workerstandin.RunEvent{}
+	for _, e := range c.Events {
+		if e.Kind == workerstandin.RunEnded {
+			ends[e.Task] = append(ends[e.Task], e)
+		}
+	}
+	return ends
+}
+
+// countEnds counts the ends of a kind until a time.
+func countEnds(ends []workerstandin.RunEvent, how string, until time.Time) int {
+	n := 0
+	for _, e := range ends {
+		if e.How == how && !e.At.After(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkRoutes holds the answers of hosts to the catalogue of their time.
+func (c *checker) checkRoutes() {
+	for _, r := range c.Routes {
+		for _, call := range r.Calls {
+			c.checkRoute(r, call)
+		}
+	}
+}
+
+func (c *checker) checkRoute(r Route, call Call) {
+	hasCome := call.Begun.Sub(r.Added) > configTime
+	mustBe := hasCome && (r.Removed.IsZero() || call.Ended.Before(r.Removed))
+	mustNot := !r.Removed.IsZero() && call.Begun.Sub(r.Removed) > configTime
+	isWrong := mustBe && call.Status == http.StatusNotFound || mustNot && call.Status == http.StatusOK
+	since := r.Added
+	if mustNot {
+		since = r.Removed
+	}
+	if isWrong && c.isCalm(since, call.Ended, inTouch) {
+		c.broken(call.Ended, "CONFIG", "host %d answers %d for %s, %s after it was changed", call.Host, call.Status, r.Queue, call.Begun.Sub(since))
+	}
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,158 @@
+package soak_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/soak"
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+const jobID = "0000000000000001"
+
+// origin is when the observations of these tests begin.
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return origin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func post(from, to float64, status int) soak.Call {
+	return soak.Call{Method: http.MethodPost, Begun: at(from), Sent: at(from), Ended: at(to), Status: status}
+}
+
+func get(from, to float64, status int, state string) soak.Call {
+	return soak.Call{Method: http.MethodGet, Begun: at(from), Sent: at(from), Ended: at(to), Status: status, State: state}
+}
+
+func cancel(from, to float64) soak.Call {
+	return soak.Call{Method: http.MethodDelete, Begun: at(from), Sent: at(from), Ended: at(to), Status: http.StatusOK}
+}
+
+func event(seconds float64, kind workerstandin.RunEventKind, worker, task string, run int, how string) workerstandin.RunEvent {
+	return workerstandin.RunEvent{At: at(seconds), Kind: kind, Worker: worker, Task: jobID + task, Run: run, How: how}
+}
+
+func began(seconds float64, worker, task string, run int) workerstandin.RunEvent {
+	return event(seconds, workerstandin.RunBegan, worker, task, run, "")
+}
+
+func ended(seconds float64, worker, task string, run int, how string) workerstandin.RunEvent {
+	return event(seconds, workerstandin.RunEnded, worker, task, run, how)
+}
+
+func noted(seconds float64, worker, task string, run int, how string) workerstandin.RunEvent {
+	return event(seconds, workerstandin.EndNoted, worker, task, run, how)
+}
+
+func ofWorker(seconds float64, kind workerstandin.RunEventKind, worker string) workerstandin.RunEvent {
+	return workerstandin.RunEvent{At: at(seconds), Kind: kind, Worker: worker}
+}
+
+// observed is a job of two steps of one task, the second after the first.
+func observed(calls []soak.Call, events ...workerstandin.RunEvent) soak.Observed {
+	return soak.Observed{
+		At: at(100),
+		Jobs: []soak.Job{{
+			ID: jobID, Closed: true, Calls: calls,
+			Steps: []platformstandin.Step{{Tasks: 1}, {Tasks: 1, After: []int{0}}},
+		}},
+		Events: events,
+	}
+}
+
+// Each rule is broken by one made-up observation, and kept by its neighbours.
+func TestCheck(t *testing.T) {
+	accepted := []soak.Call{post(0, 0.1, http.StatusOK)}
+	and := func(calls ...soak.Call) []soak.Call { return append(accepted[:1:1], calls...) }
+	const first, second = ".0.0.0", ".0.1.0"
+	fault := func(o soak.Observed, kind soak.Kind, from, to float64) soak.Observed {
+		o.Disturbances = append(o.Disturbances, soak.Disturbance{Fault: soak.Fault{Kind: kind}, From: at(from), To: at(to)})
+		return o
+	}
+	over := began(1, "w1", first, 1)
+	over.Over = true
+	otherSpec := began(1, "w1", first, 1)
+	otherSpec.Spec = "other"
+	failures := func(noteThird bool) []workerstandin.RunEvent {
+		var events []workerstandin.RunEvent
+		for run := 1; run <= 3; run++ {
+			events = append(events, began(float64(run), "w1", first, run), ended(float64(run)+0.5, "w1", first, run, "failed"))
+			if run < 3 || noteThird {
+				events = append(events, noted(float64(run)+0.6, "w1", first, run, "failed"))
+			}
+		}
+		return events
+	}
+	whole := []workerstandin.RunEvent{
+		began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), began(3, "w2", second, 1), ended(4, "w2", second, 1, "done"),
+	}
+	broken := soak.Call{Method: http.MethodGet, Begun: at(10), Sent: at(10), Ended: at(11), Broken: true}
+	early := broken
+	early.Ended = at(10.1)
+	silent := soak.Call{Method: http.MethodGet, Begun: at(10), Sent: at(10), Ended: at(14)}
+	route := func(call soak.Call, removed time.Time) soak.Observed {
+		return soak.Observed{Routes: []soak.Route{{Queue: "extra1", Added: at(10), Removed: removed, Calls: []soak.Call{call}}}}
+	}
+	for _, test := range []struct {
+		name string
+		seen soak.Observed
+		// rule is the only broken one, or empty.
+		rule string
+	}{
+		{"whole job", observed(and(get(5, 5.1, 200, "done")), whole...), ""},
+		{"two runs at once", observed(accepted, began(1, "w1", first, 1), began(2, "w2", first, 2)), "TWICE"},
+		{"second run after a lapse", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "lapsed"), began(3, "w2", first, 2)), ""},
+		{"second run after the worker has gone", observed(accepted, began(1, "w1", first, 1), event(2, workerstandin.RunGone, "w1", first, 1, ""), began(3, "w2", first, 2)), ""},
+		{"start after a noted end", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), noted(2.1, "w1", first, 1, "done"), began(3, "w2", first, 2)), "TWICE"},
+		{"start after an end that is noted later", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), began(3, "w2", first, 2), noted(3.1, "w1", first, 1, "done")), "TWICE"},
+		{"start after an end that is never noted", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), began(3, "w2", first, 2)), ""},
+		{"start after an end noted after a lapse", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), ofWorker(2.5, workerstandin.LeaseLapsed, "w1"), noted(2.6, "w1", first, 1, "done"), began(3, "w2", first, 2)), ""},
+		{"over the capacity", observed(accepted, over), "LIMIT"},
+		{"out of order", observed(accepted, began(1, "w1", second, 1)), "ORDER"},
+		{"before the step before has ended as done", observed(accepted, began(1, "w1", first, 1), ended(2, "w1", first, 1, "stopped"), began(3, "w1", second, 1)), "ORDER"},
+		{"fourth run", observed(accepted, append(failures(true), began(5, "w1", first, 4))...), "BUDGET"},
+		{"fourth run, the third end never noted", observed(accepted, append(failures(false), began(5, "w1", first, 4))...), ""},
+		{"job of nobody", observed(accepted, workerstandin.RunEvent{At: at(1), Kind: workerstandin.RunBegan, Task: "0000000000000002.0.0.0"}), "UNASKED"},
+		{"another specification", observed(accepted, otherSpec), "UNASKED"},
+		{"refused and started", observed([]soak.Call{post(0, 0.1, 503), post(1, 1.1, 429)}, began(2, "w1", first, 1)), "REFUSED"},
+		{"refused after a doubt", fault(observed([]soak.Call{post(0, 0.1, 0), post(9, 9.1, 503)}, began(2, "w1", first, 1)), soak.Kill, 0, 0.2), ""},
+		{"start after the cancel", observed(and(cancel(1, 1.1)), began(5, "w1", first, 1)), "UNASKED"},
+		{"start after the cancel beside a fault", fault(observed(and(cancel(1, 1.1)), began(5, "w1", first, 1)), soak.Kill, 2, 3), ""},
+		{"start after the cancel beside a change", fault(observed(and(cancel(1, 1.1)), began(5, "w1", first, 1)), soak.ChangeCatalogue, 2, 3), "UNASKED"},
+		{"runs on after the cancel", observed(and(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(5.5, "w1", first, 1, "stopped")), "UNASKED"},
+		{"shown as done too early", observed(and(get(3, 3.1, 200, "done")), whole...), "MIXED"},
+		{"shown as failed without cause", observed(and(get(3, 3.1, 200, "failed")), whole...), "LOST"},
+		{"shown as failed", observed(and(get(5, 5.1, 200, "failed")), failures(true)...), ""},
+		{"shown as cancelled without cause", observed(and(get(3, 3.1, 200, "cancelled"))), "LOST"},
+		{"not known", observed(and(get(5, 5.1, 410, ""))), "LOST"},
+		{"not known beside a fault", fault(observed(and(get(5, 5.1, 410, ""))), soak.Pause, 1.5, 2), ""},
+		{"channel ended", observed(and(broken)), "LOST"},
+		{"channel ended as it was used", observed(and(early)), ""},
+		{"channel ended beside planned work", fault(observed(and(broken)), soak.Terminate, 9, 12), "LOST"},
+		{"channel ended beside a fault", fault(observed(and(broken)), soak.Kill, 9, 12), ""},
+		{"no answer", observed(and(silent)), "Deadline"},
+		{"no answer beside a fault", fault(observed(and(silent)), soak.CutHosts, 9, 9.5), ""},
+		{"added queue is not there", route(get(13, 13.1, 404, ""), time.Time{}), "CONFIG"},
+		{"added queue is not there yet", route(get(12, 12.1, 404, ""), time.Time{}), ""},
+		{"removed queue is there", route(get(33, 33.1, 200, ""), at(30)), "CONFIG"},
+		{"removed queue is there still", route(get(32, 32.1, 200, ""), at(30)), ""},
+		{"crash", soak.Observed{Crashes: []soak.Crash{{At: at(1), Host: "h1"}}}, "Own ends"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var rules []string
+			for _, v := range soak.Check(test.seen) {
+				rules = append(rules, v.Rule)
+			}
+			var want []string
+			if test.rule != "" {
+				want = []string{test.rule}
+			}
+			qt.Assert(t, rules, qt.DeepEquals, want)
+		})
+	}
+}
--- /dev/null
+++ b/soak/checkruns.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+// runID names a run on a worker.
+type runID struct {
+	worker, task string
+	run          int
+}
+
+// taskView is what has happened to a task so far.
+type taskView struct {
+	// running holds the starts of the runs at work.
+	running map[runID]time.Time
+	// done and failed are the runs that ended so.
+	done, failed []runID
+}
+
+// checkRuns replays what happened at the workers.
+func (c *checker) checkRuns() {
+	noted := c.notedEnds()
+	tasks := map[string]*taskView{}
+	for _, e := range c.Events {
+		if e.Task == "" {
+			continue
+		}
+		t := tasks[e.Task]
+		if t == nil {
+			t = &taskView{running: map[runID]time.Time{}}
+			tasks[e.Task] = t
+		}
+		id := runID{e.Worker, e.Task, e.Run}
+		switch e.Kind {
+		case workerstandin.RunBegan:
+			c.checkStart(e, t, noted, tasks)
+			t.running[id] = e.At
+		case workerstandin.RunEnded, workerstandin.RunGone:
+			delete(t.running, id)
+			c.checkStopped(e)
+			t.end(e, id)
+		}
+	}
+}
+
+func (t *taskView) end(e workerstandin.RunEvent, id runID) {
+	switch {
+	case e.Kind != workerstandin.RunEnded:
+	case e.How == workerstandin.HowDone:
+		t.done = append(t.done, id)
+	case e.How == workerstandin.HowFailed:
+		t.failed = append(t.failed, id)
+	}
+}
+
+// notedEnds returns the ends that an owner took note of at any time. An end stays not
+// noted if its worker's lease lapsed before.
+func (c *checker) notedEnds() map[runID]bool {
+	noted, open := map[runID]bool{}, map[string]map[runID]bool{}
+	for _, e := range c.Events {
+		id := runID{e.Worker, e.Task, e.Run}
+		switch e.Kind {
+		case workerstandin.RunEnded:
+			if open[e.Worker] == nil {
+				open[e.Worker] = map[runID]bool{}
+			}
+			open[e.Worker][id] = true
+		case workerstandin.EndNoted:
+			noted[id] = noted[id] || open[e.Worker][id]
+		case workerstandin.LeaseLapsed, workerstandin.LifeEnded:
+			delete(open, e.Worker)
+		}
+	}
+	return noted
+}
+
+func countNoted(ids []runID, noted map[runID]bool) int {
+	n := 0
+	for _, id := range ids {
+		if noted[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// checkStart holds a start to the rules.
+func (c *checker) checkStart(e workerstandin.RunEvent, t *taskView, noted map[runID]bool, tasks map[string]*taskView) {
+	if len(t.running) > 0 {
+		c.broken(e.At, "TWICE", "run %d of %s starts on %s while another is at work", e.Run, e.Task, e.Worker)
+	}
+	if countNoted(t.done, noted) > 0 {
+		c.broken(e.At, "TWICE", "run %d of %s starts on %s after an end as done was taken note of", e.Run, e.Task, e.Worker)
+	}
+	if countNoted(t.failed, noted) >= attempts {
+		c.broken(e.At, "BUDGET", "run %d of %s starts on %s after %d have failed", e.Run, e.Task, e.Worker, attempts)
+	}
+	if e.Over {
+		c.broken(e.At, "LIMIT", "run %d of %s brings %s over its capacity", e.Run, e.Task, e.Worker)
+	}
+	c.checkOrdered(e, tasks)
+}
+
+// checkOrdered holds a start to what callers asked for.
+func (c *checker) checkOrdered(e workerstandin.RunEvent, tasks map[string]*taskView) {
+	id, step, ok := parseTask(e.Task)
+	v := c.jobs[id]
+	switch {
+	case !ok || v == nil || step >= len(v.Steps):
+		c.broken(e.At, "UNASKED", "%s starts %s, which nobody asked for", e.Worker, e.Task)
+		return
+	case v.Spec != e.Spec:
+		c.broken(e.At, "UNASKED", "%s starts %s with the specification of another", e.Worker, e.Task)
+	case v.rejected:
+		c.broken(e.At, "REFUSED", "%s starts %s, and each attempt to hand the job in was rejected", e.Worker, e.Task)
+	case !v.cancelled.IsZero() && e.At.Sub(v.cancelled) > cancelTime && c.isCalm(v.cancelled, e.At, inTouch):
+		c.broken(e.At, "UNASKED", "%s starts %s, %s after its job was cancelled", e.Worker, e.Task, e.At.Sub(v.cancelled))
+	}
+	for _, before := range v.Steps[step].After {
+		for index := range v.Steps[before].Tasks {
+			name := taskName(id, before, index)
+			if tasks[name] == nil || len(tasks[name].done) == 0 {
+				c.broken(e.At, "ORDER", "%s starts %s before %s is done", e.Worker, e.Task, name)
+			}
+		}
+	}
+}
+
+// checkStopped holds the end of a run to the cancelling of its job.
+func (c *checker) checkStopped(e workerstandin.RunEvent) {
+	id, _, _ := parseTask(e.Task)
+	v := c.jobs[id]
+	if v == nil || v.cancelled.IsZero() {
+		return
+	}
+	if late := e.At.Sub(v.cancelled); late > cancelTime+stopTime && c.isCalm(v.cancelled, e.At, inTouch) {
+		c.broken(e.At, "UNASKED", "%s runs until %s after its job was cancelled", e.Task, late)
+	}
+}
+
+// parseTask reads the job and the step from the name of a task.
+func parseTask(name string) (string, int, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", 0, false
+	}
+	step, err := strconv.Atoi(parts[2])
+	return parts[0], step, err == nil
+}
--- /dev/null
+++ b/soak/history.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/platformstandin"
+)
+
+// Call is a call of a caller and what came of it.
+type Call struct {
+	Method string
+	Host   int
+	// Begun and Ended are when it was made, and answered or given up.
+	Begun, Ended time.Time
+	// Sent is when its last byte was sent, zero if it never was.
+	Sent time.Time
+	// Status is 0 if there was no whole answer, and Broken tells that the connection
+	// ended then, before the caller gave up.
+	Status int
+	Broken bool
+	Error  string `json:",omitempty"`
+	// State is the state of the job that a GET was answered.
+	State string `json:",omitempty"`
+}
+
+// Job is a job of a caller.
+type Job struct {
+	ID, Queue, Spec string
+	Steps           []platformstandin.Step
+	// Calls holds the calls about it in the order of their ends.
+	Calls []Call
+	// Closed tells that its caller has given up handing it in.
+	Closed bool
+}
+
+// Route is a queue that an operator added, and may have removed.
+type Route struct {
+	Queue string
+	// Added and Removed are when the store acknowledged that; Removed may be zero.
+	Added, Removed time.Time
+	// Calls ask hosts for the queue.
+	Calls []Call
+}
+
+// Disturbance is a fault that was carried out.
+type Disturbance struct {
+	Fault Fault
+	// From and To are when it began and ended; To is zero while it lasts.
+	From, To time.Time
+}
+
+// Crash is an end of a process that nobody asked for.
+type Crash struct {
+	At          time.Time
+	Host, Error string
+}
+
+// history gathers what callers, operators and workers see. The zero value is empty.
+type history struct {
+	mu           sync.Mutex
+	jobs         map[string]*Job
+	order        []string
+	routes       []Route
+	disturbances []Disturbance
+	crashes      []Crash
+}
+
+// begin notes a fault and returns its number.
+func (h *history) begin(f Fault) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbances = append(h.disturbances, Disturbance{Fault: f, From: time.Now()})
+	return len(h.disturbances) - 1
+}
+
+func (h *history) end(number int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbances[number].To = time.Now()
+}
+
+func (h *history) crashed(host string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := Crash{At: time.Now(), Host: host}
+	if err != nil {
+		c.Error = err.Error()
+	}
+	h.crashes = append(h.crashes, c)
+}
+
+func (h *history) added(queue string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.routes = append(h.routes, Route{Queue: queue, Added: time.Now()})
+}
+
+func (h *history) removed(queue string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.routes {
+		if h.routes[i].Queue == queue {
+			h.routes[i].Removed = time.Now()
+		}
+	}
+}
+
+// isExtra reports whether a queue was added by an operator.
+func (h *history) isExtra(queue string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.routes, func(r Route) bool { return r.Queue == queue })
+}
+
+// asked notes a call for a queue.
+func (h *history) asked(queue string, c Call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.routes {
+		if h.routes[i].Queue == queue {
+			h.routes[i].Calls = append(h.routes[i].Calls, c)
+		}
+	}
+}
+
+// addedQueues returns the queues that operators ever added.
+func (h *history) addedQueues() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []string
+	for _, r := range h.routes {
+		names = append(names, r.Queue)
+	}
+	return names
+}
+
+// open notes a job before its first call.
+func (h *history) open(j Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.jobs == nil {
+		h.jobs = map[string]*Job{}
+	}
+	h.jobs[j.ID] = &j
+	h.order = append(h.order, j.ID)
+}
+
+// called notes a call about a job.
+func (h *history) called(id string, c Call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[id].Calls = append(h.jobs[id].Calls, c)
+}
+
+// givenUp notes that a job is not handed in again.
+func (h *history) givenUp(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[id].Closed = true
+}
+
+// observed returns a copy of all that was seen.
+func (h *history) observed() Observed {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := Observed{At: time.Now(), Disturbances: slices.Clone(h.disturbances), Crashes: slices.Clone(h.crashes)}
+	for _, id := range h.order {
+		j := *h.jobs[id]
+		j.Calls = slices.Clone(j.Calls)
+		o.Jobs = append(o.Jobs, j)
+	}
+	for _, r := range h.routes {
+		r.Calls = slices.Clone(r.Calls)
+		o.Routes = append(o.Routes, r)
+	}
+	return o
+}
--- /dev/null
+++ b/soak/injector.go
@@ -0,0 +1,238 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/proxytest"
+)
+
+const (
+	// storeDelay and linkDelay are far above what the store and links take in calm.
+	storeDelay = 400 * time.Millisecond
+	linkDelay  = 150 * time.Millisecond
+)
+
+// injector carries the faults of a plan out.
+type injector struct {
+	cell    *cell
+	history *history
+	wait    sync.WaitGroup
+
+	mu sync.Mutex
+	// version and queues are the catalogue in force; status counts changes of settings.
+	version, status int
+	queues          []platformstandin.Queue
+}
+
+// run begins each fault at its time, and returns when all have ended.
+func (i *injector) run(ctx context.Context, plan []Fault) {
+	begun := time.Now()
+	for _, f := range plan {
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.At - time.Since(begun)):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		i.wait.Go(func() { i.carryOut(ctx, f) })
+	}
+	i.wait.Wait()
+}
+
+// carryOut does one fault from its beginning to its end.
+func (i *injector) carryOut(ctx context.Context, f Fault) {
+	logrus.WithFields(logrus.Fields{"kind": f.Kind, "host": f.Host, "worker": f.Worker, "length": f.Length}).Debug("soak: fault")
+	number := i.history.begin(f)
+	end := i.inject(f)
+	select {
+	case <-time.After(f.Length):
+	case <-ctx.Done():
+	}
+	if end != nil {
+		end()
+	}
+	i.history.end(number)
+}
+
+// inject begins a fault and returns what ends it, or nil.
+func (i *injector) inject(f Fault) func() {
+	c := i.cell
+	h := c.hosts[f.Host]
+	switch f.Kind {
+	case Terminate:
+		h.terminate()
+		return func() { i.start(h) }
+	case Hangup:
+		i.changeSettings(f.Host)
+		h.signal(syscall.SIGHUP)
+	case ChangeCatalogue:
+		i.changeCatalogue()
+	case Kill:
+		h.kill()
+		return func() { i.start(h) }
+	case KillAll:
+		return i.killAll()
+	case Pause:
+		h.signal(syscall.SIGSTOP)
+		return func() { h.signal(syscall.SIGCONT) }
+	case RestartWorker, MuteWorker:
+		return i.disturbWorker(f)
+	case StoreDown, StoreSlow, LoseAnswers, DropHistory:
+		return i.disturbStore(f)
+	default:
+		return i.disturbLinks(f)
+	}
+	return nil
+}
+
+func (i *injector) start(h *process) {
+	if err := h.start(); err != nil {
+		logrus.WithError(err).Error("soak: host not started")
+	}
+}
+
+func (i *injector) killAll() func() {
+	for _, h := range i.cell.hosts {
+		h.kill()
+	}
+	return func() {
+		for _, h := range i.cell.hosts {
+			i.start(h)
+		}
+	}
+}
+
+func (i *injector) disturbWorker(f Fault) func() {
+	w := i.cell.workers[f.Worker]
+	if f.Kind == MuteWorker {
+		w.Silence(true)
+		return func() { w.Silence(false) }
+	}
+	// What is on its way to the earlier life ends with its connections.
+	i.cutWorker(f.Worker, true)
+	w.Restart()
+	return func() {
+		w.Restart()
+		i.cutWorker(f.Worker, false)
+		if err := i.cell.announce(f.Worker); err != nil {
+			logrus.WithError(err).Error("soak: worker not announced")
+		}
+	}
+}
+
+// cutWorker cuts a worker off from all hosts, or lets them reach it again.
+func (i *injector) cutWorker(worker int, apart bool) {
+	for _, links := range i.cell.workerLinks {
+		links[worker].Cut(apart)
+	}
+}
+
+func (i *injector) disturbStore(f Fault) func() {
+	rows := i.cell.rows
+	switch f.Kind {
+	case StoreDown:
+		rows.Set(func(f *platformstandin.RowFaults) { f.Down = true })
+		return func() { rows.Set(func(f *platformstandin.RowFaults) { f.Down = false }) }
+	case StoreSlow:
+		rows.Set(func(f *platformstandin.RowFaults) { f.Delay = storeDelay })
+		return func() { rows.Set(func(f *platformstandin.RowFaults) { f.Delay = 0 }) }
+	case LoseAnswers:
+		rows.Set(func(s *platformstandin.RowFaults) { s.LoseAnswers += f.Answers })
+		return func() { rows.Set(func(s *platformstandin.RowFaults) { s.LoseAnswers = 0 }) }
+	default:
+		rows.Forget()
+		return nil
+	}
+}
+
+// disturbLinks begins what happens to connections, and returns what ends it.
+func (i *injector) disturbLinks(f Fault) func() {
+	links := i.linksOf(f)
+	each := func(change func(p *proxytest.Proxy)) func() {
+		return func() {
+			for _, link := range links {
+				change(link)
+			}
+		}
+	}
+	switch f.Kind {
+	case CutStore, CutWorker, CutHosts:
+		each(func(p *proxytest.Proxy) { p.Cut(true) })()
+		return each(func(p *proxytest.Proxy) { p.Cut(false) })
+	case HoldStore, HoldWorker, HoldHosts:
+		each(func(p *proxytest.Proxy) { p.Pause(true) })()
+		return each(func(p *proxytest.Proxy) { p.Pause(false) })
+	case DelayWorkers:
+		each(func(p *proxytest.Proxy) { p.Delay(linkDelay) })()
+		return each(func(p *proxytest.Proxy) { p.Delay(0) })
+	case ResetLinks:
+		each(func(p *proxytest.Proxy) { p.Cut(true); p.Cut(false) })()
+		return nil
+	default:
+		each(func(p *proxytest.Proxy) { p.Freeze(f.There, f.Back) })()
+		return nil
+	}
+}
+
+func (i *injector) linksOf(f Fault) []*proxytest.Proxy {
+	c := i.cell
+	switch f.Kind {
+	case CutStore, HoldStore, SilenceStore:
+		return c.storeLinks[f.Host : f.Host+1]
+	case CutWorker, HoldWorker, SilenceWorker:
+		return c.workerLinks[f.Host][f.Worker : f.Worker+1]
+	case DelayWorkers:
+		return c.workerLinks[f.Host]
+	case CutHosts, HoldHosts, SilenceHosts:
+		return []*proxytest.Proxy{c.hostLinks[f.Host][f.Other], c.hostLinks[f.Other][f.Host]}
+	default:
+		return c.allLinks()
+	}
+}
+
+// changeSettings writes another length of states, which is put in force without a restart.
+func (i *injector) changeSettings(host int) {
+	i.mu.Lock()
+	i.status++
+	status := statusKept + i.status
+	i.mu.Unlock()
+	if err := i.cell.writeSettings(host, status); err != nil {
+		logrus.WithError(err).Error("soak: settings not written")
+	}
+}
+
+// changeCatalogue adds a queue, or removes the one that was added last.
+func (i *injector) changeCatalogue() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	last := i.queues[len(i.queues)-1]
+	i.version += 1 + i.version%3
+	if i.history.isExtra(last.Name) {
+		i.queues = i.queues[:len(i.queues)-1]
+		i.putCatalogue()
+		i.history.removed(last.Name)
+		return
+	}
+	added := platformstandin.Queue{Name: fmt.Sprintf("extra%d", i.version), Attempts: attempts}
+	i.queues = append(i.queues, added)
+	i.putCatalogue()
+	i.history.added(added.Name)
+}
+
+// putCatalogue writes the catalogue.
+func (i *injector) putCatalogue() {
+	content, err := platformstandin.CatalogueDocument(i.version, virtualHost, i.queues)
+	if err != nil {
+		logrus.WithError(err).Error("soak: catalogue not written")
+		return
+	}
+	i.cell.rows.Put("op", "config", content)
+}
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults. Planned ones are work that an operator does: calls under way must
+// survive them.
+const (
+	Terminate       Kind = "Terminate"
+	Hangup          Kind = "Hangup"
+	ChangeCatalogue Kind = "ChangeCatalogue"
+
+	Kill        Kind = "Kill"
+	KillAll     Kind = "KillAll"
+	Pause       Kind = "Pause"
+	StoreDown   Kind = "StoreDown"
+	StoreSlow   Kind = "StoreSlow"
+	LoseAnswers Kind = "LoseAnswers"
+	DropHistory Kind = "DropHistory"
+	// Those of links concern one host and the store, one worker, or another host.
+	CutStore      Kind = "CutStore"
+	HoldStore     Kind = "HoldStore"
+	SilenceStore  Kind = "SilenceStore"
+	CutWorker     Kind = "CutWorker"
+	HoldWorker    Kind = "HoldWorker"
+	SilenceWorker Kind = "SilenceWorker"
+	DelayWorkers  Kind = "DelayWorkers"
+	CutHosts      Kind = "CutHosts"
+	HoldHosts     Kind = "HoldHosts"
+	SilenceHosts  Kind = "SilenceHosts"
+	ResetLinks    Kind = "ResetLinks"
+	// RestartWorker and MuteWorker are faults of a worker itself.
+	RestartWorker Kind = "RestartWorker"
+	MuteWorker    Kind = "MuteWorker"
+)
+
+var (
+	planned   = []Kind{Terminate, Hangup, ChangeCatalogue}
+	unplanned = []Kind{
+		Kill, Kill, KillAll, Pause, Pause, StoreDown, StoreSlow, LoseAnswers, LoseAnswers, DropHistory, CutStore, HoldStore, SilenceStore,
+		CutWorker, HoldWorker, SilenceWorker, DelayWorkers, CutHosts, HoldHosts, SilenceHosts, ResetLinks, RestartWorker, MuteWorker,
+	}
+)
+
+// Planned reports whether a fault is work that an operator does.
+func (k Kind) Planned() bool { return slices.Contains(planned, k) }
+
+// Fault is a fault of a plan.
+type Fault struct {
+	// At is when it begins, counted from the start of the traffic.
+	At time.Duration
+	// Length is how long it lasts; a process is down or paused for so long.
+	Length time.Duration
+	Kind   Kind
+	// Host, Other and Worker are the numbers of what it concerns.
+	Host, Other, Worker int
+	// There and Back are the directions that a silent connection loses.
+	There, Back bool
+	// Answers is how many answers of the store are lost.
+	Answers int
+}
+
+const (
+	// A storm has faults, a calm has none; these bound the spells with and without faults. A calm is
+	// longer than stableWindow, so that the rules with a time bound are checked too.
+	minStorm, maxStorm = 2 * time.Second, 7 * time.Second
+	minCalm, maxCalm   = 5 * time.Second, 8 * time.Second
+	// faultPause is the mean time between two faults of a storm, far shorter than faults
+	// last, so that they overlap.
+	faultPause = 700 * time.Millisecond
+	// minFault and maxFault bound a fault. Leases of workers end after 6 s at most.
+	minFault, maxFault = 100 * time.Millisecond, 8 * time.Second
+	// plannedShare is the part of storms that have planned work only.
+	plannedShare = 0.3
+	maxLost      = 5
+)
+
+// NewPlan draws the faults of a run from a seed, in order. The first storm begins after a
+// calm, and the last fault ends before the length is over.
+func NewPlan(seed uint64, length time.Duration, hosts, workers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0))
+	var plan []Fault
+	at := time.Second
+	for at < length {
+		kinds := append(slices.Clone(unplanned), planned...)
+		if r.Float64() < plannedShare {
+			kinds = planned
+		}
+		end := min(at+between(r, minStorm, maxStorm), length)
+		for at += between(r, 0, 2*faultPause); at < end; at += between(r, 0, 2*faultPause) {
+			f := newFault(r, kinds, hosts, workers)
+			f.At, f.Length = at, min(f.Length, length-at)
+			plan = append(plan, f)
+		}
+		at = end + between(r, minCalm, maxCalm)
+	}
+	return plan
+}
+
+func newFault(r *rand.Rand, kinds []Kind, hosts, workers int) Fault {
+	f := Fault{
+		Kind: kinds[r.IntN(len(kinds))], Host: r.IntN(hosts), Other: r.IntN(hosts), Worker: r.IntN(workers),
+		There: r.IntN(2) == 0, Answers: 1 + r.IntN(maxLost),
+	}
+	f.Back = !f.There || r.IntN(3) == 0
+	// Short faults are as likely as long ones on a scale of squares.
+	part := r.Float64()
+	f.Length = minFault + time.Duration(part*part*float64(maxFault-minFault))
+	return f
+}
+
+func between(r *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(r.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/platform"
+)
+
+// stopGrace is how long after SIGTERM a process is killed, as the settings say.
+const stopGrace = 6 * time.Second
+
+// process is an entry host as a process that can be started again.
+type process struct {
+	name, ip, settings, logPath string
+	// program and arguments start it.
+	program []string
+	// crashed is told of an end that nobody asked for.
+	crashed func(name string, err error)
+
+	mu sync.Mutex
+	// command is nil while the process is down; done is closed when it has ended.
+	command *exec.Cmd
+	done    chan struct{}
+	// ending tells that it was told to end.
+	ending bool
+	closed bool
+}
+
+// start starts the process unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil || p.closed {
+		return nil
+	}
+	output, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Annotatef(err, "log of %s", p.name)
+	}
+	defer output.Close()
+	c := exec.Command(p.program[0], p.program[1:]...)
+	c.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	c.Stdout, c.Stderr = output, output
+	if err := c.Start(); err != nil {
+		return errors.Annotatef(err, "starting %s", p.name)
+	}
+	p.command, p.done, p.ending = c, make(chan struct{}), false
+	go p.wait(c, p.done)
+	return nil
+}
+
+func (p *process) wait(c *exec.Cmd, done chan struct{}) {
+	err := c.Wait()
+	p.mu.Lock()
+	ending := p.ending
+	p.command = nil
+	p.mu.Unlock()
+	close(done)
+	if !ending {
+		p.crashed(p.name, err)
+	}
+}
+
+// signal sends a signal if the process runs, and returns what is closed at its end.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		ended := make(chan struct{})
+		close(ended)
+		return ended
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.ending = true
+	}
+	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		logrus.WithError(err).WithField("host", p.name).Warn("soak: signal not sent")
+	}
+	return p.done
+}
+
+// kill ends the process at once.
+func (p *process) kill() { <-p.signal(syscall.SIGKILL) }
+
+// terminate ends the process gracefully, or kills it when its grace is over.
+func (p *process) terminate() {
+	select {
+	case <-p.signal(syscall.SIGTERM):
+	case <-time.After(stopGrace):
+		p.kill()
+	}
+}
+
+// close ends the process for good.
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.kill()
+}
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+// Of the logs the report of a broken rule has those of so long before and after it.
+const logsBefore, logsAfter = 10 * time.Second, 2 * time.Second
+
+// Report is what came of a run.
+type Report struct {
+	Seed   uint64
+	Length string
+	Begun  time.Time
+	// Took is how long the run took with its end.
+	Took string
+	// Jobs were handed in, and so many accepted, rejected each time, or cancelled.
+	Jobs, Accepted, Rejected, Cancelled int
+	Calls, Starts                       int
+	// Violation is the first broken rule that was found, or null.
+	Violation *Violation
+	// Disturbances is the time line of the faults.
+	Disturbances []Disturbance
+	// Job is the job whose rule was broken, if its text names one, with its runs.
+	Job  *Job                     `json:",omitempty"`
+	Runs []workerstandin.RunEvent `json:",omitempty"`
+	// Logs holds the lines of each host about the time of the violation.
+	Logs map[string][]json.RawMessage `json:",omitempty"`
+}
+
+// Write writes the report as JSON to a file.
+func (r Report) Write(path string) error {
+	content, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Annotate(err, "report")
+	}
+	return errors.Annotate(os.WriteFile(path, content, 0o600), "report")
+}
+
+// count counts a job.
+func (r *Report) count(v *jobView) {
+	if !v.accepted.IsZero() {
+		r.Accepted++
+	}
+	if v.rejected {
+		r.Rejected++
+	}
+	if !v.cancelled.IsZero() {
+		r.Cancelled++
+	}
+}
+
+// addEvidence adds what helps to trace the violation.
+func (r *Report) addEvidence(s *run, o Observed) {
+	for i, j := range o.Jobs {
+		if strings.Contains(r.Violation.Text, j.ID) {
+			r.Job = &o.Jobs[i]
+		}
+	}
+	for _, e := range s.cell.floor.EventsAfter(0) {
+		if r.Job != nil && strings.Contains(e.Task, r.Job.ID) {
+			r.Runs = append(r.Runs, e)
+		}
+	}
+	r.Logs = map[string][]json.RawMessage{}
+	for _, h := range s.cell.hosts {
+		lines, err := linesBetween(h.logPath, r.Violation.At.Add(-logsBefore), r.Violation.At.Add(logsAfter))
+		if err != nil {
+			logrus.WithError(err).Warn("soak: log not read")
+		}
+		r.Logs[h.name] = lines
+	}
+}
+
+// linesBetween returns the lines of a log of a time. What is no JSON, such as the stack of
+// a panic, is kept whenever it was written.
+func linesBetween(path string, from, to time.Time) ([]json.RawMessage, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer file.Close()
+	var lines []json.RawMessage
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var line struct {
+			Time time.Time `json:"time"`
+		}
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			text, err := json.Marshal(scanner.Text())
+			if err != nil {
+				return lines, errors.Trace(err)
+			}
+			lines = append(lines, text)
+			continue
+		}
+		if line.Time.After(from) && line.Time.Before(to) {
+			lines = append(lines, append(json.RawMessage(nil), scanner.Bytes()...))
+		}
+	}
+	return lines, errors.Trace(scanner.Err())
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillaquay/vanillaquay/workerstandin"
+)
+
+const (
+	// startTime bounds how long a new deployment takes until it accepts calls.
+	startTime = 20 * time.Second
+	// settleTime bounds how long all accepted jobs take once the faults have ended. The
+	// longest job takes three runs of 8 s, and leases lapse within 6 s.
+	settleTime = 40 * time.Second
+	// checkInterval is the pause between two checks while a run goes on.
+	checkInterval = time.Second
+	// settlePause is the pause between two rounds of calls for what has not ended.
+	settlePause = 300 * time.Millisecond
+	// probeInterval is the pause between two calls for added queues.
+	probeInterval = 500 * time.Millisecond
+)
+
+// Options tells what a run is like.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	// Hosts, Workers and Callers are how many there are.
+	Hosts, Workers, Callers int
+	// Program starts a host: a path and its arguments.
+	Program []string
+	// Directory takes the settings and logs of the hosts.
+	Directory string
+}
+
+// Run runs hosts among stand-ins, disturbs them, and returns what was seen. An error
+// means that the run could not be made; broken rules stand in the report.
+func Run(ctx context.Context, o Options) (Report, error) {
+	h := &history{}
+	c, err := openCell(o, h.crashed)
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.close()
+	s := &run{options: o, cell: c, history: h, injector: &injector{cell: c, history: h, version: 1, queues: queues}}
+	if err := s.startHosts(ctx); err != nil {
+		return Report{}, err
+	}
+	s.disturb(ctx)
+	if s.violation == nil && ctx.Err() == nil {
+		s.settle(ctx)
+	}
+	return s.report(), nil
+}
+
+// run is one run.
+type run struct {
+	options  Options
+	cell     *cell
+	history  *history
+	injector *injector
+	begun    time.Time
+	// violation is the first broken rule that was found, or nil.
+	violation *Violation
+}
+
+// startHosts starts all hosts and waits until they are ready.
+func (s *run) startHosts(ctx context.Context) error {
+	s.injector.putCatalogue()
+	for _, h := range s.cell.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for i := range s.cell.hosts {
+		for makeCall(http.DefaultClient, s.callerAddresses(), i, http.MethodGet, "/"+queues[0].Name+"/", nil).Status != http.StatusOK {
+			if ctx.Err() != nil {
+				return errors.Errorf("host %d was not ready within %s", i, startTime)
+			}
+			time.Sleep(settlePause)
+		}
+	}
+	return nil
+}
+
+func (s *run) callerAddresses() []string {
+	var list []string
+	for i := range s.cell.hosts {
+		list = append(list, s.cell.callerAddress(i))
+	}
+	return list
+}
+
+// disturb lets callers work while the faults are carried out, until these have ended or
+// a rule is broken.
+func (s *run) disturb(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.begun = time.Now()
+	var callers sync.WaitGroup
+	for i := range s.options.Callers {
+		c := newCaller(i, s.options.Seed, s.callerAddresses(), s.history)
+		callers.Go(func() { c.run(ctx) })
+	}
+	callers.Go(func() { s.probe(ctx) })
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		s.injector.run(ctx, NewPlan(s.options.Seed, s.options.Length, s.options.Hosts, s.options.Workers))
+	}()
+	s.watch(ctx, faults)
+	cancel()
+	callers.Wait()
+	<-faults
+}
+
+// watch checks until a channel is closed or a rule is broken.
+func (s *run) watch(ctx context.Context, ended <-chan struct{}) {
+	for s.check(); s.violation == nil; s.check() {
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(checkInterval):
+		}
+	}
+}
+
+// check keeps the first broken rule.
+func (s *run) check() {
+	o := s.history.observed()
+	o.Events = s.cell.floor.EventsAfter(0)
+	if found := Check(o); len(found) > 0 {
+		s.violation = &found[0]
+		logrus.WithFields(logrus.Fields{"rule": s.violation.Rule, "seed": s.options.Seed}).Error("soak: " + s.violation.Text)
+	}
+}
+
+// probe asks all hosts for the queues that operators added and removed.
+func (s *run) probe(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		for _, queue := range s.history.addedQueues() {
+			s.history.asked(queue, makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, "/"+queue+"/", nil))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(probeInterval):
+		}
+	}
+}
+
+// settle asks for all accepted jobs until each has ended.
+func (s *run) settle(ctx context.Context) {
+	for end := time.Now().Add(settleTime); ; time.Sleep(settlePause) {
+		open := s.askForOpen()
+		logrus.WithField("jobs", len(open)).Debug("soak: waiting for jobs to end")
+		s.check()
+		if s.violation != nil || len(open) == 0 || ctx.Err() != nil {
+			return
+		}
+		if time.Now().After(end) {
+			s.violation = &Violation{At: time.Now(), Rule: "LOST", Text: open[0] + " has not ended long after the faults"}
+			return
+		}
+	}
+}
+
+// askForOpen asks for the jobs that are not known to have ended, and returns those that
+// have not.
+func (s *run) askForOpen() []string {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	var open []string
+	for n, j := range s.history.observed().Jobs {
+		if newJobView(&j).accepted.IsZero() || hasEnded(j) {
+			continue
+		}
+		call := makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, path(j), nil)
+		s.history.called(j.ID, call)
+		if !isEnd(call) {
+			open = append(open, j.ID)
+		}
+	}
+	return open
+}
+
+func hasEnded(j Job) bool {
+	for _, call := range j.Calls {
+		if isEnd(call) {
+			return true
+		}
+	}
+	return false
+}
+
+// isEnd reports whether an answer shows that a job has ended. One that was cancelled may
+// not be known any more.
+func isEnd(call Call) bool {
+	switch call.State {
+	case stateDone, stateFailed, stateCanceled:
+		return true
+	}
+	return call.Method == http.MethodDelete && call.Status == http.StatusGone
+}
+
+// report gathers what was seen.
+func (s *run) report() Report {
+	o := s.history.observed()
+	r := Report{
+		Seed: s.options.Seed, Length: s.options.Length.String(), Begun: s.begun, Took: time.Since(s.begun).String(),
+		Violation: s.violation, Jobs: len(o.Jobs), Disturbances: o.Disturbances,
+	}
+	for i := range o.Jobs {
+		v := newJobView(&o.Jobs[i])
+		r.Calls += len(v.Calls)
+		r.count(v)
+	}
+	for _, e := range s.cell.floor.EventsAfter(0) {
+		if e.Kind == workerstandin.RunBegan {
+			r.Starts++
+		}
+	}
+	if s.violation != nil {
+		r.addEvidence(s, o)
+	}
+	return r
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,39 @@
+package soak_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/soak"
+)
+
+// seeds are run each time: one with faults of most kinds, and those that ever failed,
+// with a line on the cause.
+var seeds = []uint64{
+	3,
+}
+
+// Six hosts as processes of their own keep the rules among faults in series. Long runs are
+// made by cmd/soak.
+func TestSoak(t *testing.T) {
+	for _, seed := range seeds {
+		report, err := soak.Run(context.Background(), soak.Options{
+			Seed: seed, Length: 20 * time.Second, Hosts: 6, Workers: 8, Callers: 8,
+			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
+		})
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("seed %d: %d faults, %d jobs, %d starts, %s", seed, len(report.Disturbances), report.Jobs, report.Starts, report.Took)
+		if report.Violation == nil {
+			qt.Check(t, report.Accepted > 0 && report.Starts > 0, qt.IsTrue)
+			continue
+		}
+		path := filepath.Join(os.TempDir(), "soak-failed.json")
+		qt.Check(t, report.Write(path), qt.IsNil)
+		t.Errorf("seed %d: %s at %s: %s; the report is %s", seed, report.Violation.Rule, report.Violation.At, report.Violation.Text, path)
+	}
+}
--- a/workerstandin/behaviour.go
+++ b/workerstandin/behaviour.go
@@ -16,6 +16,8 @@
 	Used *task.Size `json:",omitempty"`
 	// Outcome is empty if the task succeeds.
 	Outcome task.Outcome `json:",omitempty"`
+	// FailingRuns is how many runs of each task end as failed; only a Runner does so.
+	FailingRuns int `json:",omitempty"`
 	// Sign makes the body of the answer tell which run made it, as Signed does.
 	Sign bool `json:",omitempty"`
 }
@@ -26,6 +28,11 @@
 	return string(payload) + "\n" + worker + " " + attempt
 }
 
+// Payload returns a payload, or the specification of a job, that tells a behaviour.
+func (b Behaviour) Payload() ([]byte, error) {
+	return json.Marshal(struct{ Standin Behaviour }{b})
+}
+
 // behaviourOf reads a payload; one that says nothing gives the zero value.
 func behaviourOf(payload []byte) Behaviour {
 	var p struct{ Standin Behaviour }
--- a/workerstandin/floor.go
+++ b/workerstandin/floor.go
@@ -14,6 +14,7 @@
 	done    map[string]int
 	faults  []string
 	starts  int
+	events  []RunEvent
 }
 
 func (f *Floor) begin(task string) {
--- a/workerstandin/runner.go
+++ b/workerstandin/runner.go
@@ -11,6 +11,10 @@
 	"github.com/go-chi/chi/v5"
 )
 
+// MaxLease is the longest lease that a Runner grants, as the settings of hosts beside it
+// tell.
+const MaxLease = 6 * time.Second
+
 // Runner is a stand-in of a worker that speaks the users' published protocol: it
 // runs tasks by sleeping. The size of a task stands in its specification.
 type Runner struct {
@@ -40,6 +44,9 @@
 	run     int
 	started time.Time
 	timer   *time.Timer
+	// size is what the run takes, in thousandths of a processor.
+	size   int64
+	length time.Duration
 }
 
 type runnerEnd struct {
@@ -63,7 +70,9 @@
 	for task, run := range r.runs {
 		run.timer.Stop()
 		r.Floor.end(task, false)
+		r.note(RunEvent{Kind: RunGone, Task: task, Run: run.run})
 	}
+	r.note(RunEvent{Kind: LifeEnded})
 	r.ended, r.number, r.fence = nil, 0, 0
 	r.mu.Unlock()
 	r.Start()
@@ -100,6 +109,7 @@
 type runnerOrder struct {
 	Task    string `json:"task"`
 	Run     int    `json:"run"`
+	Spec    string `json:"spec"`
 	Fence   int64  `json:"fence"`
 	UntilMS int64  `json:"until_ms"`
 	Seen    int64  `json:"last_seen"`
@@ -129,6 +139,9 @@
 // extend makes the lease of all that runs longer, and ends it all once it is over.
 func (r *Runner) extend(untilMS int64) {
 	until := r.begun.Add(time.Duration(untilMS) * time.Millisecond)
+	if most := time.Now().Add(MaxLease); until.After(most) {
+		until = most
+	}
 	if untilMS == 0 || !until.After(r.until) {
 		return
 	}
@@ -139,8 +152,9 @@
 		if time.Now().Before(r.until) {
 			return
 		}
+		r.note(RunEvent{Kind: LeaseLapsed})
 		for task := range r.runs {
-			r.end(task, "lapsed")
+			r.end(task, HowLapsed)
 		}
 	})
 }
@@ -164,19 +178,59 @@
 		r.answer(w, http.StatusConflict, "late")
 		return
 	}
-	if int64(len(r.runs)+1)*r.Size > r.Capacity {
+	r.begin(o)
+	r.answer(w, http.StatusOK, "")
+}
+
+// begin starts a run as its specification tells.
+func (r *Runner) begin(o runnerOrder) {
+	size, length, how := r.truth(o)
+	over := r.used()+size > r.Capacity
+	if over {
 		r.Floor.fault(r.ID + " is over its capacity")
 	}
 	r.Floor.begin(o.Task)
-	task := o.Task
-	r.runs[task] = &runnerRun{run: o.Run, started: time.Now(), timer: time.AfterFunc(r.Length, func() {
+	r.note(RunEvent{Kind: RunBegan, Task: o.Task, Run: o.Run, Spec: o.Spec, Over: over})
+	run := &runnerRun{run: o.Run, started: time.Now(), size: size, length: length}
+	run.timer = time.AfterFunc(length, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if run := r.runs[task]; run != nil && run.run == o.Run {
-			r.end(task, "done")
+		if r.runs[o.Task] == run {
+			r.end(o.Task, how)
 		}
-	})}
-	r.answer(w, http.StatusOK, "")
+	})
+	r.runs[o.Task] = run
+}
+
+// truth returns what a run takes, how long it lasts and how it ends.
+func (r *Runner) truth(o runnerOrder) (int64, time.Duration, string) {
+	b := behaviourOf([]byte(o.Spec))
+	size, length, how := r.Size, r.Length, HowDone
+	if b.Used != nil {
+		size = b.Used.Processors
+	}
+	if d, err := time.ParseDuration(b.RunTime); err == nil {
+		length = d
+	}
+	if o.Run <= b.FailingRuns {
+		how = HowFailed
+	}
+	return size, length, how
+}
+
+// used returns what all runs take, in thousandths of a processor.
+func (r *Runner) used() int64 {
+	var sum int64
+	for _, run := range r.runs {
+		sum += run.size
+	}
+	return sum
+}
+
+// note tells the floor what happened here.
+func (r *Runner) note(e RunEvent) {
+	e.Worker, e.At = r.ID, time.Now()
+	r.Floor.note(e)
 }
 
 func (r *Runner) stop(w http.ResponseWriter, q *http.Request) {
@@ -189,7 +243,7 @@
 	r.refused[o.Task] = max(r.refused[o.Task], o.Run)
 	if run := r.runs[o.Task]; run != nil && run.run == o.Run {
 		run.timer.Stop()
-		r.end(o.Task, "stopped")
+		r.end(o.Task, HowStopped)
 	}
 	r.answer(w, http.StatusOK, "")
 }
@@ -201,7 +255,8 @@
 	r.number++
 	r.ended = append(r.ended, runnerEnd{number: r.number, task: task, run: run.run, how: how})
 	r.refused[task] = max(r.refused[task], run.run)
-	r.Floor.end(task, how == "done")
+	r.Floor.end(task, how == HowDone)
+	r.note(RunEvent{Kind: RunEnded, Task: task, Run: run.run, How: how})
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -213,7 +268,13 @@
 	if !ok {
 		return
 	}
-	r.ended = slices.DeleteFunc(r.ended, func(e runnerEnd) bool { return e.number <= o.Seen })
+	r.ended = slices.DeleteFunc(r.ended, func(e runnerEnd) bool {
+		if e.number > o.Seen {
+			return false
+		}
+		r.note(RunEvent{Kind: EndNoted, Task: e.task, Run: e.run, How: e.how})
+		return true
+	})
 	if len(r.ended) == 0 && o.WaitMS > 0 {
 		changed := r.changed
 		r.mu.Unlock()
@@ -226,7 +287,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, run := range r.runs {
-		running = append(running, []any{task, run.run, "", int(100 * time.Since(run.started) / r.Length), 0})
+		running = append(running, []any{task, run.run, "", int(100 * time.Since(run.started) / max(run.length, 1)), 0})
 	}
 	for _, e := range r.ended {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
