--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,9 +28,9 @@
 	Length    time.Duration `help:"How long faults are made." default:"30s"`
 	Hosts     int           `help:"How many entry hosts run, each a process." default:"6"`
 	Workers   int           `help:"How many workers there are." default:"8"`
-	Callers   int           `help:"How many callers there are." default:"8"`
+	Callers   int           `help:"How many callers there are." default:"16"`
 	Program   string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
-	Report    string        `help:"File that takes the report." default:"soak.json" type:"path"`
+	Report    string        `help:"File that takes the report." default:"target/soak.json" type:"path"`
 	Directory string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
 	Verbose   bool          `help:"Log each fault."`
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -30,12 +30,14 @@
 	callTimeout = 3 * time.Second
 	// answerSlack is how much longer they wait for an answer that is late.
 	answerSlack = time.Second
-	// maxTries is how often a caller hands one job in; some give up in a long outage.
-	maxTries = 8
+	// maxTries is how often a caller hands one job in at most. After an answer that it was
+	// rejected, which must be true from then on, so many give up.
+	maxTries    = 8
+	giveUpShare = 0.4
 	// A caller that is turned away comes back after so long.
 	minReturn, maxReturn = 100 * time.Millisecond, 600 * time.Millisecond
 	// Between two calls a caller pauses, so that half of the processors are at work.
-	minPause, maxPause = 100 * time.Millisecond, 700 * time.Millisecond
+	minPause, maxPause = 200 * time.Millisecond, 1400 * time.Millisecond
 	// Of all calls so many hand new jobs in, repeat such a call, ask for a state, or cancel.
 	submitShare, repeatShare, askShare = 0.55, 0.08, 0.25
 	// longTask is above what a task of a job of several steps takes, so that the jobs of
@@ -112,9 +114,14 @@
 	c.history.open(j)
 	defer c.history.givenUp(j.ID)
 	for range maxTries {
-		if status := c.post(j); status == http.StatusOK {
+		switch c.post(j) {
+		case http.StatusOK:
 			c.jobs = append(c.jobs, j)
 			return
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			if c.random.Float64() < giveUpShare {
+				return
+			}
 		}
 		c.pause(ctx, minReturn, maxReturn)
 		if ctx.Err() != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -73,7 +73,7 @@
 	minCalm, maxCalm   = 5 * time.Second, 8 * time.Second
 	// faultPause is the mean time between two faults of a storm, far shorter than faults
 	// last, so that they overlap.
-	faultPause = 700 * time.Millisecond
+	faultPause = 400 * time.Millisecond
 	// minFault and maxFault bound a fault. Leases of workers end after 6 s at most.
 	minFault, maxFault = 100 * time.Millisecond, 8 * time.Second
 	// plannedShare is the part of storms that have planned work only.
--- a/soak/report.go
+++ b/soak/report.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/proxytest"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
 
@@ -26,6 +27,8 @@
 	// Jobs were handed in, and so many accepted, rejected each time, or cancelled.
 	Jobs, Accepted, Rejected, Cancelled int
 	Calls, Starts                       int
+	// Of the links of hosts, so many connections went to the store, workers and hosts.
+	StoreConnections, WorkerConnections, HostConnections int
 	// Violation is the first broken rule that was found, or null.
 	Violation *Violation
 	// Disturbances is the time line of the faults.
@@ -59,6 +62,23 @@
 	}
 }
 
+// countConnections counts what went over the links of a cell.
+func (r *Report) countConnections(c *cell) {
+	r.StoreConnections = accepted(c.storeLinks)
+	for i := range c.hosts {
+		r.WorkerConnections += accepted(c.workerLinks[i])
+		r.HostConnections += accepted(c.hostLinks[i])
+	}
+}
+
+func accepted(links []*proxytest.Proxy) int {
+	n := 0
+	for _, link := range links {
+		n += link.Accepted()
+	}
+	return n
+}
+
 // addEvidence adds what helps to trace the violation.
 func (r *Report) addEvidence(s *run, o Observed) {
 	for i, j := range o.Jobs {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -230,6 +230,7 @@
 			r.Starts++
 		}
 	}
+	r.countConnections(s.cell)
 	if s.violation != nil {
 		r.addEvidence(s, o)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,13 +23,15 @@
 func TestSoak(t *testing.T) {
 	for _, seed := range seeds {
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Length: 20 * time.Second, Hosts: 6, Workers: 8, Callers: 8,
+			Seed: seed, Length: 20 * time.Second, Hosts: 6, Workers: 8, Callers: 16,
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
 		t.Logf("seed %d: %d faults, %d jobs, %d starts, %s", seed, len(report.Disturbances), report.Jobs, report.Starts, report.Took)
 		if report.Violation == nil {
 			qt.Check(t, report.Accepted > 0 && report.Starts > 0, qt.IsTrue)
+			// Faults of links are none if hosts reach each other beside the links.
+			qt.Check(t, report.StoreConnections > 0 && report.WorkerConnections > 0 && report.HostConnections > 0, qt.IsTrue)
 			continue
 		}
 		path := filepath.Join(os.TempDir(), "soak-failed.json")
