--- a/platformstandin/document.go
+++ b/platformstandin/document.go
@@ -32,10 +32,16 @@
 	return json.Marshal(map[string]any{"version": version, "routes": routes, "services": []map[string]string{{"name": ServiceName}}})
 }
 
+// The states of a worker.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining"
+)
+
 // WorkerDocument returns the row of a worker that began at a Unix time in milliseconds.
-func WorkerDocument(address string, processors, begun int64) ([]byte, error) {
+func WorkerDocument(address, state string, processors, begun int64) ([]byte, error) {
 	return json.Marshal(map[string]any{
-		"service": ServiceName, "addr": address, "zone": "z", "slots": 8, "state": "ready", "labels": []string{"a", "r1"},
+		"service": ServiceName, "addr": address, "zone": "z", "slots": 8, "state": state, "labels": []string{"a", "r1"},
 		"capacity": map[string]int64{"cpu": processors, "mem_mb": 8000}, "born": begun, "seq": 1,
 	})
 }
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -92,23 +92,26 @@
 func (c *cell) openWorkers(o Options) error {
 	for i := range o.Workers {
 		w := &workerstandin.Runner{
-			ID: fmt.Sprintf("w%d", i), Capacity: processorsPerWorker, Floor: c.floor, Length: time.Second, Size: 1000,
+			ID: workerName(i), Capacity: processorsPerWorker, Floor: c.floor, Length: time.Second, Size: 1000,
 		}
 		w.Start()
 		if _, err := c.serve(c.address(realView, firstWorker+i, workerPort), w.Handler()); err != nil {
 			return err
 		}
 		c.workers = append(c.workers, w)
-		if err := c.announce(i); err != nil {
+		if err := c.announce(i, platformstandin.StateReady); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// announce writes the row of a worker that has just begun.
-func (c *cell) announce(worker int) error {
-	row, err := platformstandin.WorkerDocument(c.address(realView, firstWorker+worker, workerPort), processorsPerWorker, time.Now().UnixMilli())
+func workerName(number int) string { return fmt.Sprintf("w%d", number) }
+
+// announce writes the row of a worker.
+func (c *cell) announce(worker int, state string) error {
+	address, begun := c.address(realView, firstWorker+worker, workerPort), c.workers[worker].Begun()
+	row, err := platformstandin.WorkerDocument(address, state, processorsPerWorker, begun.UnixMilli())
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -17,6 +17,7 @@
 	cancelTime    = 3 * time.Second
 	stopTime      = 900 * time.Millisecond
 	visibleTime   = 3 * time.Second
+	drainTime     = 2500 * time.Millisecond
 	stateDone     = "done"
 	stateFailed   = "failed"
 	stateCanceled = "cancelled"
@@ -44,7 +45,7 @@
 // Check returns the broken rules, the earliest first. A rule that needs what comes later
 // may be seen broken only in a later check.
 func Check(o Observed) []Violation {
-	c := &checker{Observed: o, jobs: map[string]*jobView{}}
+	c := &checker{Observed: o, jobs: map[string]*jobView{}, lives: map[string]time.Time{}}
 	for i := range o.Jobs {
 		c.jobs[o.Jobs[i].ID] = newJobView(&o.Jobs[i])
 	}
@@ -61,7 +62,9 @@
 // checker holds what was seen with what follows from it.
 type checker struct {
 	Observed
-	jobs  map[string]*jobView
+	jobs map[string]*jobView
+	// lives tells when the last life of each worker ended, as far as the replay is.
+	lives map[string]time.Time
 	found []Violation
 }
 
@@ -69,8 +72,8 @@
 	c.found = append(c.found, Violation{At: at, Rule: rule, Text: fmt.Sprintf(format, args...)})
 }
 
-// inTouch is false for the faults that take machines out of touch.
-func inTouch(k Kind) bool { return k == Hangup || k == ChangeCatalogue }
+// inTouch reports whether machines stay in touch during a kind of fault.
+func inTouch(k Kind) bool { return k.Planned() && k != Terminate }
 
 // isCalm reports whether nothing was disturbed from stableWindow before a time until
 // another, but by the kinds of faults that are left out.
--- a/soak/checkruns.go
+++ b/soak/checkruns.go
@@ -27,6 +27,9 @@
 	noted := c.notedEnds()
 	tasks := map[string]*taskView{}
 	for _, e := range c.Events {
+		if e.Kind == workerstandin.LifeEnded {
+			c.lives[e.Worker] = e.At
+		}
 		if e.Task == "" {
 			continue
 		}
@@ -103,9 +106,23 @@
 	if e.Over {
 		c.broken(e.At, "LIMIT", "run %d of %s brings %s over its capacity", e.Run, e.Task, e.Worker)
 	}
+	c.checkDrained(e)
 	c.checkOrdered(e, tasks)
 }
 
+// checkDrained holds a start to what its worker has announced.
+func (c *checker) checkDrained(e workerstandin.RunEvent) {
+	for _, d := range c.Disturbances {
+		isOver := !d.To.IsZero() && d.To.Before(e.At) || c.lives[e.Worker].After(d.From)
+		if d.Fault.Kind != DrainWorker || workerName(d.Fault.Worker) != e.Worker || isOver {
+			continue
+		}
+		if late := e.At.Sub(d.From); late > drainTime && c.isCalm(d.From, e.At, inTouch) {
+			c.broken(e.At, "DRAIN", "%s starts %s, %s after it announced that it leaves", e.Worker, e.Task, late)
+		}
+	}
+}
+
 // checkOrdered holds a start to what callers asked for.
 func (c *checker) checkOrdered(e workerstandin.RunEvent, tasks map[string]*taskView) {
 	id, step, ok := parseTask(e.Task)
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -83,7 +83,7 @@
 	case Pause:
 		h.signal(syscall.SIGSTOP)
 		return func() { h.signal(syscall.SIGCONT) }
-	case RestartWorker, MuteWorker:
+	case RestartWorker, MuteWorker, DrainWorker:
 		return i.disturbWorker(f)
 	case StoreDown, StoreSlow, LoseAnswers, DropHistory:
 		return i.disturbStore(f)
@@ -112,19 +112,34 @@
 
 func (i *injector) disturbWorker(f Fault) func() {
 	w := i.cell.workers[f.Worker]
-	if f.Kind == MuteWorker {
+	switch f.Kind {
+	case MuteWorker:
 		w.Silence(true)
 		return func() { w.Silence(false) }
-	}
-	// What is on its way to the earlier life ends with its connections.
-	i.cutWorker(f.Worker, true)
-	w.Restart()
-	return func() {
-		w.Restart()
-		i.cutWorker(f.Worker, false)
-		if err := i.cell.announce(f.Worker); err != nil {
-			logrus.WithError(err).Error("soak: worker not announced")
+	case DrainWorker:
+		i.announce(f.Worker, platformstandin.StateDraining)
+		return func() {
+			i.cutWorker(f.Worker, true)
+			i.restartWorker(f.Worker)
 		}
+	default:
+		// What is on its way to the earlier life ends with its connections.
+		i.cutWorker(f.Worker, true)
+		w.Restart()
+		return func() { i.restartWorker(f.Worker) }
+	}
+}
+
+// restartWorker begins another life of a worker that was cut off.
+func (i *injector) restartWorker(worker int) {
+	i.cell.workers[worker].Restart()
+	i.cutWorker(worker, false)
+	i.announce(worker, platformstandin.StateReady)
+}
+
+func (i *injector) announce(worker int, state string) {
+	if err := i.cell.announce(worker, state); err != nil {
+		logrus.WithError(err).Error("soak: worker not announced")
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -15,6 +15,9 @@
 	Terminate       Kind = "Terminate"
 	Hangup          Kind = "Hangup"
 	ChangeCatalogue Kind = "ChangeCatalogue"
+	// DrainWorker lets a worker announce that it leaves; it ends after the length of the
+	// fault and comes back as another.
+	DrainWorker Kind = "DrainWorker"
 
 	Kill        Kind = "Kill"
 	KillAll     Kind = "KillAll"
@@ -41,7 +44,7 @@
 )
 
 var (
-	planned   = []Kind{Terminate, Hangup, ChangeCatalogue}
+	planned   = []Kind{Terminate, Hangup, ChangeCatalogue, DrainWorker}
 	unplanned = []Kind{
 		Kill, Kill, KillAll, Pause, Pause, StoreDown, StoreSlow, LoseAnswers, LoseAnswers, DropHistory, CutStore, HoldStore, SilenceStore,
 		CutWorker, HoldWorker, SilenceWorker, DelayWorkers, CutHosts, HoldHosts, SilenceHosts, ResetLinks, RestartWorker, MuteWorker,
--- a/workerstandin/runner.go
+++ b/workerstandin/runner.go
@@ -78,6 +78,13 @@
 	r.Start()
 }
 
+// Begun returns when the present life of the worker began.
+func (r *Runner) Begun() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun
+}
+
 // Silence makes the worker answer nothing, or speak again.
 func (r *Runner) Silence(on bool) {
 	r.mu.Lock()
