--- a/soak/cell.go
+++ b/soak/cell.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/front"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 	"github.com/vanillaquay/vanillaquay/proxytest"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
@@ -200,6 +203,22 @@
 	return errors.Trace(os.Rename(next, h.settings))
 }
 
+// owns reports whether a host says that it owns the cell.
+func (c *cell) owns(ctx context.Context, host int) bool {
+	url := "http://" + c.address(realView, firstHost+host, front.MetricsPort) + "/dump"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	r, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	var dump struct{ Owns bool }
+	return json.NewDecoder(r.Body).Decode(&dump) == nil && dump.Owns
+}
+
 // allLinks returns all proxies.
 func (c *cell) allLinks() []*proxytest.Proxy {
 	all := append([]*proxytest.Proxy(nil), c.storeLinks...)
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -17,6 +17,8 @@
 	// storeDelay and linkDelay are far above what the store and links take in calm.
 	storeDelay = 400 * time.Millisecond
 	linkDelay  = 150 * time.Millisecond
+	// ownerTimeout bounds how long hosts are asked for the owner: some are paused.
+	ownerTimeout = 100 * time.Millisecond
 )
 
 // injector carries the faults of a plan out.
@@ -49,6 +51,9 @@
 
 // carryOut does one fault from its beginning to its end.
 func (i *injector) carryOut(ctx context.Context, f Fault) {
+	if f.Owner {
+		f.Host = i.owner(f.Host)
+	}
 	logrus.WithFields(logrus.Fields{"kind": f.Kind, "host": f.Host, "worker": f.Worker, "length": f.Length}).Debug("soak: fault")
 	number := i.history.begin(f)
 	end := i.inject(f)
@@ -62,6 +67,28 @@
 	i.history.end(number)
 }
 
+// owner returns the number of the host that says it owns the cell, or another one.
+func (i *injector) owner(other int) int {
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	owners := make(chan int, len(i.cell.hosts))
+	var asked sync.WaitGroup
+	for n := range i.cell.hosts {
+		asked.Go(func() {
+			if i.cell.owns(ctx, n) {
+				owners <- n
+			}
+		})
+	}
+	asked.Wait()
+	select {
+	case n := <-owners:
+		return n
+	default:
+		return other
+	}
+}
+
 // inject begins a fault and returns what ends it, or nil.
 func (i *injector) inject(f Fault) func() {
 	c := i.cell
@@ -203,6 +230,9 @@
 	case CutStore, HoldStore, SilenceStore:
 		return c.storeLinks[f.Host : f.Host+1]
 	case CutWorker, HoldWorker, SilenceWorker:
+		if f.All {
+			return c.workerLinks[f.Host]
+		}
 		return c.workerLinks[f.Host][f.Worker : f.Worker+1]
 	case DelayWorkers:
 		return c.workerLinks[f.Host]
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -63,6 +63,10 @@
 	Kind   Kind
 	// Host, Other and Worker are the numbers of what it concerns.
 	Host, Other, Worker int
+	// Owner tells that Host is the owner of the cell as the fault begins, if there is one.
+	Owner bool
+	// All tells that a fault of the link to a worker concerns all workers.
+	All bool
 	// There and Back are the directions that a silent connection loses.
 	There, Back bool
 	// Answers is how many answers of the store are lost.
@@ -81,7 +85,10 @@
 	minFault, maxFault = 100 * time.Millisecond, 8 * time.Second
 	// plannedShare is the part of storms that have planned work only.
 	plannedShare = 0.3
-	maxLost      = 5
+	// ownerShare is the part of faults that meet the owner, whose loss costs the most, and
+	// allShare the part of those of links to a worker that concern all.
+	ownerShare, allShare = 0.5, 0.3
+	maxLost              = 5
 )
 
 // NewPlan draws the faults of a run from a seed, in order. The first storm begins after a
@@ -109,6 +116,7 @@
 func newFault(r *rand.Rand, kinds []Kind, hosts, workers int) Fault {
 	f := Fault{
 		Kind: kinds[r.IntN(len(kinds))], Host: r.IntN(hosts), Other: r.IntN(hosts), Worker: r.IntN(workers),
+		Owner: r.Float64() < ownerShare, All: r.Float64() < allShare,
 		There: r.IntN(2) == 0, Answers: 1 + r.IntN(maxLost),
 	}
 	f.Back = !f.There || r.IntN(3) == 0
