--- a/soak/plan.go
+++ b/soak/plan.go
@@ -84,7 +84,9 @@
 	// minFault and maxFault bound a fault. Leases of workers end after 6 s at most.
 	minFault, maxFault = 100 * time.Millisecond, 8 * time.Second
 	// plannedShare is the part of storms that have planned work only.
-	plannedShare = 0.3
+	plannedShare = 0.2
+	// kindsPerStorm is few enough that faults of each kind meet each other.
+	kindsPerStorm = 5
 	// ownerShare is the part of faults that meet the owner, whose loss costs the most, and
 	// allShare the part of those of links to a worker that concern all.
 	ownerShare, allShare = 0.5, 0.3
@@ -98,10 +100,7 @@
 	var plan []Fault
 	at := time.Second
 	for at < length {
-		kinds := append(slices.Clone(unplanned), planned...)
-		if r.Float64() < plannedShare {
-			kinds = planned
-		}
+		kinds := kindsOfStorm(r)
 		end := min(at+between(r, minStorm, maxStorm), length)
 		for at += between(r, 0, 2*faultPause); at < end; at += between(r, 0, 2*faultPause) {
 			f := newFault(r, kinds, hosts, workers)
@@ -113,6 +112,16 @@
 	return plan
 }
 
+// kindsOfStorm draws a few kinds, so that those of one storm come in series.
+func kindsOfStorm(r *rand.Rand) []Kind {
+	if r.Float64() < plannedShare {
+		return planned
+	}
+	kinds := append(slices.Clone(unplanned), planned...)
+	r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	return kinds[:kindsPerStorm]
+}
+
 func newFault(r *rand.Rand, kinds []Kind, hosts, workers int) Fault {
 	f := Fault{
 		Kind: kinds[r.IntN(len(kinds))], Host: r.IntN(hosts), Other: r.IntN(hosts), Worker: r.IntN(workers),
