--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,7 @@
 	// maxTries is how often a caller hands one job in at most. After an answer that it was
 	// rejected, which must be true from then on, so many give up.
 	maxTries    = 8
-	giveUpShare = 0.4
+	giveUpShare = 0.7
 	// A caller that is turned away comes back after so long.
 	minReturn, maxReturn = 100 * time.Millisecond, 600 * time.Millisecond
 	// Between two calls a caller pauses, so that half of the processors are at work.
