--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -66,7 +66,7 @@
 		return exitFailed
 	}
 	fields := logrus.Fields{
-		"seed": c.Seed, "faults": len(report.Disturbances), "jobs": report.Jobs, "accepted": report.Accepted, "rejected": report.Rejected,
+		"seed": c.Seed, "faults": len(report.Disruptions), "jobs": report.Jobs, "accepted": report.Accepted, "rejected": report.Rejected,
 		"cancelled": report.Cancelled, "starts": report.Starts, "calls": report.Calls, "took": report.Took,
 	}
 	if report.Violation != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -28,7 +28,7 @@
 	At           time.Time
 	Jobs         []Job
 	Routes       []Route
-	Disturbances []Disturbance
+	Disruptions []Disruption
 	Crashes      []Crash
 	// Events holds what happened at all workers, in order.
 	Events []workerstandin.RunEvent
@@ -78,7 +78,7 @@
 // isCalm reports whether nothing was disturbed from stableWindow before a time until
 // another, but by the kinds of faults that are left out.
 func (c *checker) isCalm(from, to time.Time, without func(Kind) bool) bool {
-	for _, d := range c.Disturbances {
+	for _, d := range c.Disruptions {
 		if without(d.Fault.Kind) {
 			continue
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -71,7 +71,7 @@
 	and := func(calls ...soak.Call) []soak.Call { return append(accepted[:1:1], calls...) }
 	const first, second = ".0.0.0", ".0.1.0"
 	fault := func(o soak.Observed, kind soak.Kind, from, to float64) soak.Observed {
-		o.Disturbances = append(o.Disturbances, soak.Disturbance{Fault: soak.Fault{Kind: kind}, From: at(from), To: at(to)})
+		o.Disruptions = append(o.Disruptions, soak.Disruption{Fault: soak.Fault{Kind: kind}, From: at(from), To: at(to)})
 		return o
 	}
 	over := began(1, "w1", first, 1)
--- a/soak/checkruns.go
+++ b/soak/checkruns.go
@@ -112,7 +112,7 @@
 
 // checkDrained holds a start to what its worker has announced.
 func (c *checker) checkDrained(e workerstandin.RunEvent) {
-	for _, d := range c.Disturbances {
+	for _, d := range c.Disruptions {
 		isOver := !d.To.IsZero() && d.To.Before(e.At) || c.lives[e.Worker].After(d.From)
 		if d.Fault.Kind != DrainWorker || workerName(d.Fault.Worker) != e.Worker || isOver {
 			continue
--- a/soak/history.go
+++ b/soak/history.go
@@ -44,8 +44,8 @@
 	Calls []Call
 }
 
-// Disturbance is a fault that was carried out.
-type Disturbance struct {
+// Disruption is a fault that was carried out.
+type Disruption struct {
 	Fault Fault
 	// From and To are when it began and ended; To is zero while it lasts.
 	From, To time.Time
@@ -63,7 +63,7 @@
 	jobs         map[string]*Job
 	order        []string
 	routes       []Route
-	disturbances []Disturbance
+	disruptions []Disruption
 	crashes      []Crash
 }
 
@@ -71,14 +71,14 @@
 func (h *history) begin(f Fault) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.disturbances = append(h.disturbances, Disturbance{Fault: f, From: time.Now()})
-	return len(h.disturbances) - 1
+	h.disruptions = append(h.disruptions, Disruption{Fault: f, From: time.Now()})
+	return len(h.disruptions) - 1
 }
 
 func (h *history) end(number int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.disturbances[number].To = time.Now()
+	h.disruptions[number].To = time.Now()
 }
 
 func (h *history) crashed(host string, err error) {
@@ -165,7 +165,7 @@
 func (h *history) observed() Observed {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	o := Observed{At: time.Now(), Disturbances: slices.Clone(h.disturbances), Crashes: slices.Clone(h.crashes)}
+	o := Observed{At: time.Now(), Disruptions: slices.Clone(h.disruptions), Crashes: slices.Clone(h.crashes)}
 	for _, id := range h.order {
 		j := *h.jobs[id]
 		j.Calls = slices.Clone(j.Calls)
--- a/soak/report.go
+++ b/soak/report.go
@@ -31,8 +31,8 @@
 	StoreConnections, WorkerConnections, HostConnections int
 	// Violation is the first broken rule that was found, or null.
 	Violation *Violation
-	// Disturbances is the time line of the faults.
-	Disturbances []Disturbance
+	// Disruptions is the time line of the faults.
+	Disruptions []Disruption
 	// Job is the job whose rule was broken, if its text names one, with its runs.
 	Job  *Job                     `json:",omitempty"`
 	Runs []workerstandin.RunEvent `json:",omitempty"`
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -218,7 +218,7 @@
 	o := s.history.observed()
 	r := Report{
 		Seed: s.options.Seed, Length: s.options.Length.String(), Begun: s.begun, Took: time.Since(s.begun).String(),
-		Violation: s.violation, Jobs: len(o.Jobs), Disturbances: o.Disturbances,
+		Violation: s.violation, Jobs: len(o.Jobs), Disruptions: o.Disruptions,
 	}
 	for i := range o.Jobs {
 		v := newJobView(&o.Jobs[i])
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,7 +27,7 @@
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
-		t.Logf("seed %d: %d faults, %d jobs, %d starts, %s", seed, len(report.Disturbances), report.Jobs, report.Starts, report.Took)
+		t.Logf("seed %d: %d faults, %d jobs, %d starts, %s", seed, len(report.Disruptions), report.Jobs, report.Starts, report.Took)
 		if report.Violation == nil {
 			qt.Check(t, report.Accepted > 0 && report.Starts > 0, qt.IsTrue)
 			// Faults of links are none if hosts reach each other beside the links.
