--- a/soak/check.go
+++ b/soak/check.go
@@ -25,11 +25,11 @@
 
 // Observed is what was seen from outside the processes until a moment.
 type Observed struct {
-	At           time.Time
-	Jobs         []Job
-	Routes       []Route
+	At          time.Time
+	Jobs        []Job
+	Routes      []Route
 	Disruptions []Disruption
-	Crashes      []Crash
+	Crashes     []Crash
 	// Events holds what happened at all workers, in order.
 	Events []workerstandin.RunEvent
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -59,12 +59,12 @@
 
 // history gathers what callers, operators and workers see. The zero value is empty.
 type history struct {
-	mu           sync.Mutex
-	jobs         map[string]*Job
-	order        []string
-	routes       []Route
+	mu          sync.Mutex
+	jobs        map[string]*Job
+	order       []string
+	routes      []Route
 	disruptions []Disruption
-	crashes      []Crash
+	crashes     []Crash
 }
 
 // begin notes a fault and returns its number.
