--- a/cell/load.go
+++ b/cell/load.go
@@ -6,8 +6,12 @@
 type Load struct {
 	// Usable is the number of workers that accept new work.
 	Usable int
-	// Capacity and Used are the processors of these workers, in thousandths.
-	Capacity, Used int64
+	// Paused is the number of announced workers that get no new work after a failure or
+	// because they are slow; Silent is the number of those whose last report is too old.
+	Paused, Silent int
+	// Capacity and Used are the processors of the usable workers, in thousandths. Held is the
+	// part that gangs held in the last scheduling pass.
+	Capacity, Used, Held int64
 	// Steps is the number of steps with waiting tasks. Of these steps, Gangs counts the gangs,
 	// and Unadvised those that need a first answer from the advice service.
 	Steps, Gangs, Unadvised int
@@ -26,6 +30,15 @@
 			l.Usable++
 			l.Capacity += w.Capacity.Processors
 			l.Used += w.used.Processors
+			l.Held += w.held.Processors
+			continue
+		}
+		switch {
+		case w.unlisted || w.Draining:
+		case now < w.pausedUntil:
+			l.Paused++
+		case !c.reportsInTime(now, w):
+			l.Silent++
 		}
 	}
 	for _, s := range c.waitingSteps(now) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -90,7 +90,12 @@
 
 // usable reports whether a worker accepts new work.
 func (c *Cell) usable(now time.Duration, w *worker) bool {
-	return !w.unlisted && !w.Draining && !w.reserved && w.unknownRuns == 0 && now >= w.unknownRunsUntil && w.lastReportAt > 0 && now-w.lastReportAt < reportTimeout+c.idlePollDelay(w) && now >= w.pausedUntil
+	return !w.unlisted && !w.Draining && !w.reserved && w.unknownRuns == 0 && now >= w.unknownRunsUntil && c.reportsInTime(now, w) && now >= w.pausedUntil
+}
+
+// reportsInTime reports whether the last report of a worker is recent enough for new work.
+func (c *Cell) reportsInTime(now time.Duration, w *worker) bool {
+	return w.lastReportAt > 0 && now-w.lastReportAt < reportTimeout+c.idlePollDelay(w)
 }
 
 // idlePollDelay returns how much later than usual an idle worker of a large cell may be
