cell: compare the speed of runs with their siblings elsewhere

Cause: a worker counts as slow when its runs progress at less than 0.35 of the usual speed of the queue by their estimates.

Runs are compared with those of their step on other workers; estimates are used only where those of the queue have proved right within a third.

--- a/cell/job.go
+++ b/cell/job.go
@@ -67,6 +67,10 @@
 	runs []*run
 	// notBefore delays the next run of a task that failed.
 	notBefore time.Duration
+	// rate is the last observed progress of the first run in percent per second, on the
+	// worker with the ID rateWorker; "" is none yet.
+	rate       float64
+	rateWorker string
 }
 
 func (s *step) taskID(t *taskRecord) workload.TaskID {
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -14,9 +14,12 @@
 	// slowSpeedRatio is the fraction of the usual speed below which a worker counts as slow.
 	// The kinds of workers differ by a third, and estimates by a factor of two.
 	slowSpeedRatio = 0.35
-	// minSlowRuns is the least number of runs that a comparison needs, since estimates of
-	// single runs are wrong.
+	// minSlowRuns is the least number of runs that a comparison needs, since single tasks
+	// differ in length.
 	minSlowRuns = 2
+	// maxReliableDeviation is the mean deviation of a queue's speeds, relative to their mean,
+	// above which its estimates tell nothing about single runs.
+	maxReliableDeviation = 0.3
 	// slowWorkerPause is how long a slow worker gets no new work; each report extends it
 	// while the worker is slow.
 	slowWorkerPause = 1500 * time.Millisecond
@@ -36,9 +39,18 @@
 	tightDeadlineSlack = 2 * time.Second
 )
 
-// speeds holds the usual speed of runs relative to their estimates, by queue. Use a non-nil
-// map.
-type speeds map[string]float64
+// queueSpeed is the speed of the runs of a queue relative to their estimates.
+type queueSpeed struct {
+	// mean is the usual speed; deviation is the mean deviation from it, as a fraction of it.
+	mean, deviation float64
+}
+
+// reliable reports whether the estimates of the queue are good enough to tell a slow worker
+// from a task that takes longer than estimated.
+func (q queueSpeed) reliable() bool { return q.deviation <= maxReliableDeviation }
+
+// speeds holds the speed of runs by queue. Use a non-nil map.
+type speeds map[string]queueSpeed
 
 // learn updates the usual speed of a queue and the speed of a worker after a run that ended
 // as done.
@@ -47,11 +59,18 @@
 		return
 	}
 	speed := float64(estimate) / float64(took)
-	if known, ok := s[queue]; ok {
-		w.learnSpeed(speed / known)
-		speed = known + (speed-known)/queueSpeedWeight
+	usual, ok := s[queue]
+	if !ok {
+		s[queue] = queueSpeed{mean: speed}
+		return
+	}
+	deviation := min(math.Abs(speed/usual.mean-1), maxSpeedRatio)
+	usual.deviation += (deviation - usual.deviation) / queueSpeedWeight
+	if usual.reliable() {
+		w.learnSpeed(speed / usual.mean)
 	}
-	s[queue] = speed
+	usual.mean += (speed - usual.mean) / queueSpeedWeight
+	s[queue] = usual
 }
 
 // learnSpeed updates the speed of a worker after a run with the given speed relative to the
@@ -74,17 +93,15 @@
 func (c *Cell) checkSpeed(now time.Duration, w *worker) {
 	runs, sum := 0, 0.0
 	for _, r := range w.runs {
-		s, _ := c.findTask(r.id)
-		if s == nil || r.state != running || r.restored || s.Daemon || s.Filler || s.Gang || s.Estimate <= 0 || r.progressedAt-r.begunAt < minSpeedSample {
+		s, t := c.findTask(r.id)
+		if s == nil || !r.showsSpeed() || s.Daemon || s.Filler || s.Gang {
 			continue
 		}
-		usual, ok := c.speeds[s.job.Queue]
-		if !ok {
-			continue
+		t.rate, t.rateWorker = r.rate(), w.ID
+		if relative, ok := c.relativeSpeed(s, r); ok {
+			sum += relative
+			runs++
 		}
-		worked := time.Duration(r.percent / 100 * float64(s.Estimate))
-		sum += float64(worked) / float64(r.progressedAt-r.begunAt) / usual
-		runs++
 	}
 	if runs < minSlowRuns || sum/float64(runs) > slowSpeedRatio {
 		return
@@ -94,3 +111,39 @@
 	}
 	w.pausedUntil = max(w.pausedUntil, now+slowWorkerPause)
 }
+
+// showsSpeed reports whether the progress of a run tells the speed of its worker. A run that
+// resumes from a checkpoint starts with the progress of the one before.
+func (r *run) showsSpeed() bool {
+	return r.state == running && !r.restored && r.number == 1 && r.progressedAt-r.begunAt >= minSpeedSample
+}
+
+// rate returns the progress of a run in percent per second.
+func (r *run) rate() float64 { return r.percent / (r.progressedAt - r.begunAt).Seconds() }
+
+// relativeSpeed compares a run with those of the same step on other workers, whose estimate
+// is the same. Without enough of these it compares the run with its estimate, and reports
+// false if the estimates of the queue are not reliable.
+func (c *Cell) relativeSpeed(s *step, r *run) (relative float64, ok bool) {
+	if usual, ok := s.rateElsewhere(r.worker.ID); ok {
+		return r.rate() / usual, true
+	}
+	usual, ok := c.speeds[s.job.Queue]
+	if !ok || !usual.reliable() || s.Estimate <= 0 {
+		return 0, false
+	}
+	return r.rate() / completePercent * s.Estimate.Seconds() / usual.mean, true
+}
+
+// rateElsewhere returns the mean rate of a step's runs on other workers than the given one,
+// or false if these are too few.
+func (s *step) rateElsewhere(worker string) (float64, bool) {
+	n, sum := 0, 0.0
+	for _, t := range s.tasks {
+		if t.rateWorker != "" && t.rateWorker != worker {
+			n++
+			sum += t.rate
+		}
+	}
+	return sum / float64(max(1, n)), n >= minSlowRuns && sum > 0
+}
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -42,6 +42,37 @@
 	qt.Assert(t, w.workers["w1"].running, qt.HasLen, 5)
 }
 
+// Estimates are wrong by up to a factor of ten, in the same direction for all tasks of a step.
+// Tasks that take ten times their estimate on every worker must not make the workers look slow:
+// a tenth of a healthy fleet was paused at any time.
+func TestWrongEstimatesDoNotMakeWorkersLookSlow(t *testing.T) {
+	w := newWorld(4)
+	// The estimates of the queue are wrong in both directions.
+	for n := range 20 {
+		w.submit(job(id(n), "Plain", 16, func(s *workload.Step) { s.Estimate = time.Duration(1+n%2*9) * 200 * ms }))
+		w.now += second
+		for _, f := range w.workers {
+			f.endAll(cell.EndedDone)
+		}
+		w.reportAll()
+	}
+	w.submit(job(id(30), "Plain", 12, nil))
+	for range 8 {
+		w.now += 500 * ms
+		for _, f := range w.workers {
+			for i := range f.running {
+				f.running[i].Percent += 5
+			}
+		}
+		w.reportAll()
+	}
+	w.submit(job(id(31), "Plain", 8, nil))
+	qt.Assert(t, w.runningCount(), qt.Equals, 20)
+	for _, n := range w.logEntries {
+		qt.Assert(t, n.Event, qt.Not(qt.Equals), "worker slow")
+	}
+}
+
 // A new owner does not know how long the restored runs have worked, so it must not learn the
 // usual speed from them.
 func TestRestoredRunsDoNotAffectUsualSpeed(t *testing.T) {
