cell: predict durations from what ends show

Cause: the order of service, lateness and the choice of what can still earn anything went by declared estimates.

A regression of the logarithms, one for each queue, predicts durations from estimates; where the estimates are right it follows them.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -54,11 +54,16 @@
 	recordDelay    time.Duration
 	speeds         speeds
 	eligibleRatios eligibleRatios
+	// durations predicts the durations of tasks, by queue. durationVersion is the version in
+	// use; durationsChanged reports whether the models have changed since.
+	durations        map[string]durationModel
+	durationVersion  int
+	durationsChanged bool
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]durationModel{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/job.go
+++ b/cell/job.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -18,10 +17,11 @@
 	steps []*step
 	// chainEstimates holds, for each step, the estimated duration of the longest chain of
 	// steps that begins with it; longestChain is the maximum. work is the cost of all steps
-	// in processor-seconds.
+	// in processor-seconds. All are predictions of the version estimatedAt of the models.
 	chainEstimates []time.Duration
 	longestChain   time.Duration
 	work           float64
+	estimatedAt    int
 	// dueCount is the number of occurrences that have been added to steps.
 	dueCount  int
 	isChanged bool
@@ -53,6 +53,8 @@
 	tightDeadline bool
 	// bookedPlan is the plan of a gang that awaits its tickets.
 	bookedPlan []*worker
+	// preemptTriedAt is when preemption was last considered for the gang; 0 is never.
+	preemptTriedAt time.Duration
 }
 
 // taskRecord is the state of one task.
@@ -88,7 +90,7 @@
 	if c.jobs[w.ID] != nil {
 		return false
 	}
-	j := newJob(w, now)
+	j := c.newJob(w, now)
 	c.jobs[w.ID] = j
 	c.addDueOccurrences(now, j)
 	c.markChanged(j)
@@ -96,17 +98,9 @@
 	return true
 }
 
-func newJob(w workload.Job, acceptedAt time.Duration) *job {
-	j := &job{Job: w, state: workload.Queued, acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps))}
-	for i := len(w.Steps) - 1; i >= 0; i-- {
-		s := w.Steps[i]
-		j.chainEstimates[i] += s.Estimate
-		j.work += float64(s.TaskCount) * s.Estimate.Seconds() * float64(s.Size.Processors) / float64(task.Processor)
-		for _, a := range s.After {
-			j.chainEstimates[a] = max(j.chainEstimates[a], j.chainEstimates[i])
-		}
-		j.longestChain = max(j.longestChain, j.chainEstimates[i])
-	}
+func (c *Cell) newJob(w workload.Job, acceptedAt time.Duration) *job {
+	j := &job{Job: w, state: workload.Queued, acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps)), estimatedAt: neverEstimated}
+	c.updateEstimates(j)
 	return j
 }
 
--- a/cell/report.go
+++ b/cell/report.go
@@ -96,8 +96,8 @@
 	switch e.Outcome {
 	case EndedDone:
 		w.failureScore = 0
-		if !s.Gang && !r.restored && e.Run == 1 && r.begunAt > 0 {
-			c.speeds.learn(s.job.Queue, w, s.Estimate, now-r.begunAt)
+		if !r.restored && e.Run == 1 && r.begunAt > 0 {
+			c.learnRun(now, s, w, r)
 		}
 		c.markDone(now, s, t)
 	case EndedFailed:
@@ -108,6 +108,26 @@
 	}
 }
 
+// learnRun updates the usual speeds and the predicted durations after the first run of a task
+// that ended as done. A gang works from when its last member has begun, and is counted once.
+func (c *Cell) learnRun(now time.Duration, s *step, w *worker, r *run) {
+	if !s.Gang {
+		c.speeds.learn(s.job.Queue, w, s.Estimate, now-r.begunAt)
+		c.learnDuration(s, now-r.begunAt)
+		return
+	}
+	if s.remaining < len(s.tasks) {
+		return
+	}
+	begun := r.begunAt
+	for _, t := range s.tasks {
+		for _, other := range t.runs {
+			begun = max(begun, other.begunAt)
+		}
+	}
+	c.learnDuration(s, now-begun)
+}
+
 // markDone marks a task, or all tasks of a gang, as done. A daemon is never done.
 func (c *Cell) markDone(now time.Duration, s *step, t *taskRecord) {
 	if s.Daemon {
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -26,6 +26,7 @@
 // since 1970 in milliseconds.
 func (c *Cell) Tick(now time.Duration, wall int64) {
 	c.wallClock = wall
+	c.publishDurations()
 	for _, j := range c.scheduledJobs() {
 		if j.dueCount < j.Occurrences() {
 			c.addDueOccurrences(now, j)
