cell: preempt runs with checkpoints for gangs that are in time

Cause: a wide gang waited for its workers to drain while gangs held 2,000 to 4,500 of 11,200 processors.

Runs of steps with checkpoints and slack make room while the gang's question is on its way; each task is preempted at most once.

--- a/cell/gang_ask.go
+++ b/cell/gang_ask.go
@@ -22,12 +22,18 @@
 )
 
 // askForGang asks for the tickets that a gang lacks, once it would have capacity with them.
+// Runs that are preempted for it end before the answer arrives.
 func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, eligible []*worker) {
 	if queue.Advice == nil || s.tickets.awaitsAnswer(now) {
 		return
 	}
+	var preempted []*run
 	s.bookedPlan = planGang(s, eligible)
+	if s.bookedPlan == nil {
+		s.bookedPlan, preempted = c.planWithPreemption(now, s, queue, eligible)
+	}
 	if s.bookedPlan != nil {
+		c.preempt(now, s, preempted)
 		c.ask(now, s, queue, withSpares(s, s.bookedPlan, eligible))
 		return
 	}
