--- a/cli/front.go
+++ b/cli/front.go
@@ -36,7 +36,7 @@
 }
 
 // Run implements the subcommand.
-func (c frontCommand) Run() error {
+func (c frontCommand) Run(hangups hangupSignals) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return codedError{exitUsage, err}
@@ -55,7 +55,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	h := front.New(settings, log)
-	go watchSettings(ctx, h, log)
+	go watchSettings(ctx, h, hangups, log)
 	return h.Run(ctx)
 }
 
--- a/cli/reload.go
+++ b/cli/reload.go
@@ -34,11 +34,24 @@
 	return fileVersion{size: info.Size(), modTime: info.ModTime()}
 }
 
-// watchSettings reloads the settings on SIGHUP and when the file has changed. If they
-// can't be read, the previous settings stay in force.
-func watchSettings(ctx context.Context, h *front.Host, log *logrus.Entry) {
+// hangupSignals delivers SIGHUP.
+type hangupSignals <-chan os.Signal
+
+// catchHangups returns the channel of SIGHUP for a command line that runs an entry host, and
+// nil for others, which the signal ends. It is called before anything else, as settings may
+// change while a host starts.
+func catchHangups(arguments []string) hangupSignals {
+	if len(arguments) == 0 || arguments[0] != "front" {
+		return nil
+	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// watchSettings reloads the settings on SIGHUP and when the file has changed. If they
+// can't be read, the previous settings stay in force.
+func watchSettings(ctx context.Context, h *front.Host, hangups hangupSignals, log *logrus.Entry) {
 	path := os.Getenv(platform.SettingsVariable)
 	lastVersion := statVersion(path)
 	ticker := time.NewTicker(settingsPollInterval)
--- a/cli/run.go
+++ b/cli/run.go
@@ -40,6 +40,7 @@
 
 // Run executes one command line and returns its exit code.
 func Run(arguments []string) int {
+	hangups := catchHangups(arguments)
 	var c commands
 	parser, err := kong.New(&c, kong.Name("vanillaquay"), kong.Description(description), groups)
 	if err != nil {
@@ -51,5 +52,5 @@
 		parser.Errorf("%s", err)
 		return exitUsage
 	}
-	return reportError(context.Run())
+	return reportError(context.Run(hangups))
 }
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -40,6 +42,26 @@
 	return dump.Settings.StatusKept
 }
 
+// The settings change while a host starts: the signal must not end it, though it has not read
+// its settings yet.
+func TestHangupDuringStartDoesNotEndTheHost(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "settings")
+	c.Assert(syscall.Mkfifo(path, 0o600), qt.IsNil)
+	host := exec.Command(os.Args[0], "front", "--check")
+	host.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	c.Assert(host.Start(), qt.IsNil)
+	// The pipe can be opened once the host reads it.
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(host.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	_, err = settings.WriteString("not settings")
+	c.Assert(err, qt.IsNil)
+	c.Assert(settings.Close(), qt.IsNil)
+	_ = host.Wait()
+	c.Assert(host.ProcessState.Exited(), qt.IsTrue, qt.Commentf("the host was ended: %v", host.ProcessState))
+}
+
 // The settings files change while hosts run, with and without a signal. The owner hands the
 // cell over to apply the new settings; an invalid file changes nothing, and no job is lost.
 func TestReconfigureRunningHosts(t *testing.T) {
