ledger: read the head row until the store answers

Ruled out: the feeds of the hosts, which forward calls all the while.

While a transaction is overdue the head row is read each 0.2 s over a call of its own; the first that is answered tells whether the transaction took effect and whether to send it again.

--- a/ledger/adaptive_timeout_test.go
+++ b/ledger/adaptive_timeout_test.go
@@ -110,6 +110,24 @@
 	})
 }
 
+// The store is silent for some seconds: calls that it gets meanwhile are never answered. Its
+// return must be noticed at once, not when the call in flight times out: all new jobs are
+// refused until then.
+func TestReturnOfSilentStoreIsNoticedQuickly(t *testing.T) {
+	for outage := 2 * time.Second; outage < 5*time.Second; outage += 300 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			const silence = time.Hour
+			s := &slowStore{fakeStore: newFakeStore(), delay: 10 * time.Millisecond}
+			l := acquireFrom(t, s)
+			s.set(silence, nil)
+			back := time.Now().Add(outage)
+			time.AfterFunc(outage, func() { s.set(10*time.Millisecond, nil) })
+			qt.Assert(t, l.Append(t.Context(), write("k", "1")), qt.IsNil)
+			qt.Check(t, time.Since(back) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("noticed after %v", time.Since(back)))
+		})
+	}
+}
+
 func acquireFrom(t *testing.T, s ledger.Store) *ledger.Ledger {
 	l, err := ledger.Acquire(t.Context(), s, "C", "a", "i", ledger.Lease{})
 	qt.Assert(t, err, qt.IsNil)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -26,6 +26,8 @@
 	FinishedTable = "finished"
 	// WaveTable holds one row per wave of upkeep.
 	WaveTable = "wave"
+	// LearnedTable holds one row per cell, with what its owners have learned about queues.
+	LearnedTable = "learned"
 	// MemberTable holds one row per entry host.
 	MemberTable = "member"
 )
--- a/ledger/try.go
+++ b/ledger/try.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/timer"
 )
 
 // errAnswerLost means that a store of usual speed has not answered a transaction in time,
@@ -24,10 +26,21 @@
 	took time.Duration
 }
 
+const (
+	// headReadInterval is the interval at which the head row is read while a transaction is
+	// not answered. A store that was silent never answers the calls of that time; it is
+	// known to be back as soon as a later read succeeds.
+	headReadInterval = 200 * time.Millisecond
+	// headReadTimeout bounds such a read. A store that is 100 times slower than usual takes
+	// 400 ms for one.
+	headReadTimeout = 600 * time.Millisecond
+)
+
 // tryCommit sends a transaction once. If no answer arrives within the timeout it reads
-// the head row. The row shows whether the transaction has taken effect, and the time of
-// the read shows whether the answer is lost or the store is slow. A slow store must not
-// be sent copies, which would only add to its load.
+// the head row, again and again until one read succeeds. The row shows whether the
+// transaction has taken effect, and the time of the read shows whether the answer is lost
+// or the store is slow. A slow store must not be sent copies, which would only add to its
+// load.
 func (l *Ledger) tryCommit(ctx context.Context, t Transaction, id string) (Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTimeout)
 	defer cancel()
@@ -37,20 +50,17 @@
 		version, err := l.store.Commit(ctx, t)
 		answers <- commitResult{version: version, err: err}
 	}()
-	timer := time.NewTimer(l.timeout.duration())
-	defer timer.Stop()
+	overdue := time.NewTimer(l.timeout.duration())
+	defer overdue.Stop()
 	select {
 	case a := <-answers:
 		return l.handleAnswer(start, a)
-	case <-timer.C:
+	case <-overdue.C:
 	}
 	select {
 	case a := <-answers:
 		return l.handleAnswer(start, a)
-	case r := <-l.readHead(ctx):
-		if r.err != nil {
-			break
-		}
+	case r := <-l.readHeadUntilAnswered(ctx):
 		if version, ok, err := committedVersion(r.rows, id); ok || err != nil {
 			return version, err
 		}
@@ -61,17 +71,37 @@
 	return l.handleAnswer(start, <-answers)
 }
 
-// readHead starts to read the head row.
-func (l *Ledger) readHead(ctx context.Context) <-chan headReading {
+// readHeadUntilAnswered reads the head row at intervals until the context ends, and returns
+// the first successful reading.
+func (l *Ledger) readHeadUntilAnswered(ctx context.Context) <-chan headReading {
 	readings := make(chan headReading, 1)
+	ctx, succeeded := context.WithCancel(ctx)
 	go func() {
-		start := time.Now()
-		page, err := l.store.Rows(ctx, HeadTable, l.cell, headKey, 1)
-		readings <- headReading{rows: page.Rows, err: err, took: time.Since(start)}
+		defer succeeded()
+		for ok := true; ok; ok = timer.Sleep(ctx, headReadInterval) {
+			go func() {
+				if r := l.readHead(ctx); r.err == nil {
+					select {
+					case readings <- r:
+						succeeded()
+					default:
+					}
+				}
+			}()
+		}
 	}()
 	return readings
 }
 
+// readHead reads the head row once.
+func (l *Ledger) readHead(ctx context.Context) headReading {
+	ctx, cancel := context.WithTimeout(ctx, headReadTimeout)
+	defer cancel()
+	start := time.Now()
+	page, err := l.store.Rows(ctx, HeadTable, l.cell, headKey, 1)
+	return headReading{rows: page.Rows, err: err, took: time.Since(start)}
+}
+
 // handleAnswer returns the answer of the store, and updates the timeout if the
 // transaction was committed or met a conflict.
 func (l *Ledger) handleAnswer(start time.Time, a commitResult) (Version, error) {
