--- a/cell/cell.go
+++ b/cell/cell.go
@@ -56,14 +56,14 @@
 	eligibleRatios eligibleRatios
 	// durations predicts the durations of tasks, by queue. durationVersion is the version in
 	// use; durationsChanged reports whether the models have changed since.
-	durations        map[string]durationModel
+	durations        map[string]DurationModel
 	durationVersion  int
 	durationsChanged bool
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]durationModel{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]DurationModel{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/estimate.go
+++ b/cell/estimate.go
@@ -21,45 +21,60 @@
 	neverEstimated = -1
 )
 
-// durationModel predicts how long the tasks of a queue take from their declared estimates, by
+// DurationModel predicts how long the tasks of a queue take from their declared estimates, by
 // a linear regression of the logarithms: estimates may be wrong by a factor, and where they
 // are, the mean of the queue tells more. The zero value trusts the estimates.
-type durationModel struct {
-	// weight is the sum of the weights of the observations; x and y are the weighted sums of
-	// the logarithms of estimates and durations, xx and xy those of their products.
-	weight, x, y, xx, xy float64
+type DurationModel struct {
+	// Weight is the sum of the weights of the observations.
+	Weight float64 `cbor:"1,keyasint"`
+	// X and Y are the weighted sums of the logarithms of estimates and durations.
+	X float64 `cbor:"2,keyasint"`
+	Y float64 `cbor:"3,keyasint"`
+	// XX and XY are the weighted sums of the products of these logarithms.
+	XX float64 `cbor:"4,keyasint"`
+	XY float64 `cbor:"5,keyasint"`
 }
 
 // With returns the model after an observation with a weight of at most 1.
-func (m durationModel) With(estimate, took time.Duration, weight float64) durationModel {
+func (m DurationModel) With(estimate, took time.Duration, weight float64) DurationModel {
 	if estimate <= 0 || took <= 0 {
 		return m
 	}
 	keep := 1 - weight/durationMemory
 	x, y := logSeconds(estimate), logSeconds(took)
-	return durationModel{
-		weight: keep*m.weight + weight,
-		x:      keep*m.x + weight*x,
-		y:      keep*m.y + weight*y,
-		xx:     keep*m.xx + weight*x*x,
-		xy:     keep*m.xy + weight*x*y,
+	return DurationModel{
+		Weight: keep*m.Weight + weight,
+		X:      keep*m.X + weight*x,
+		Y:      keep*m.Y + weight*y,
+		XX:     keep*m.XX + weight*x*x,
+		XY:     keep*m.XY + weight*x*y,
 	}
 }
 
 // Predict returns the expected duration of a task with a declared estimate.
-func (m durationModel) Predict(estimate time.Duration) time.Duration {
-	if estimate <= 0 || m.weight == 0 {
+func (m DurationModel) Predict(estimate time.Duration) time.Duration {
+	if estimate <= 0 || m.Weight == 0 {
 		return estimate
 	}
-	x, y := m.x/m.weight, m.y/m.weight
+	x, y := m.X/m.Weight, m.Y/m.Weight
 	prior := priorWeight * priorVariance
-	slope := max(0, (m.xy-m.weight*x*y+prior)/(m.xx-m.weight*x*x+prior))
+	slope := max(0, (m.XY-m.Weight*x*y+prior)/(m.XX-m.Weight*x*x+prior))
 	// Without observations the line passes through equal logarithms.
-	offset := m.weight / (m.weight + priorWeight) * (y - x)
+	offset := m.Weight / (m.Weight + priorWeight) * (y - x)
 	predicted := x + offset + slope*(logSeconds(estimate)-x)
 	return time.Duration(math.Exp(predicted) * float64(time.Second))
 }
 
+// isValid reports whether observations can have led to the model.
+func (m DurationModel) isValid() bool {
+	for _, sum := range []float64{m.X, m.Y, m.XX, m.XY} {
+		if math.IsNaN(sum) || math.IsInf(sum, 0) {
+			return false
+		}
+	}
+	return isPositive(m.Weight)
+}
+
 func logSeconds(d time.Duration) float64 { return math.Log(max(d, minModelDuration).Seconds()) }
 
 // learnDuration updates the model of a queue after a run that ended as done.
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -39,18 +39,20 @@
 	tightDeadlineSlack = 2 * time.Second
 )
 
-// queueSpeed is the speed of the runs of a queue relative to their estimates.
-type queueSpeed struct {
-	// mean is the usual speed; deviation is the mean deviation from it, as a fraction of it.
-	mean, deviation float64
+// QueueSpeed is the speed of the runs of a queue relative to their estimates.
+type QueueSpeed struct {
+	// Mean is the usual speed.
+	Mean float64 `cbor:"1,keyasint"`
+	// Deviation is the mean deviation from Mean, as a fraction of it.
+	Deviation float64 `cbor:"2,keyasint"`
 }
 
 // reliable reports whether the estimates of the queue are good enough to tell a slow worker
 // from a task that takes longer than estimated.
-func (q queueSpeed) reliable() bool { return q.deviation <= maxReliableDeviation }
+func (q QueueSpeed) reliable() bool { return q.Deviation <= maxReliableDeviation }
 
 // speeds holds the speed of runs by queue. Use a non-nil map.
-type speeds map[string]queueSpeed
+type speeds map[string]QueueSpeed
 
 // learn updates the usual speed of a queue and the speed of a worker after a run that ended
 // as done.
@@ -61,15 +63,15 @@
 	speed := float64(estimate) / float64(took)
 	usual, ok := s[queue]
 	if !ok {
-		s[queue] = queueSpeed{mean: speed}
+		s[queue] = QueueSpeed{Mean: speed}
 		return
 	}
-	deviation := min(math.Abs(speed/usual.mean-1), maxSpeedRatio)
-	usual.deviation += (deviation - usual.deviation) / queueSpeedWeight
+	deviation := min(math.Abs(speed/usual.Mean-1), maxSpeedRatio)
+	usual.Deviation += (deviation - usual.Deviation) / queueSpeedWeight
 	if usual.reliable() {
-		w.learnSpeed(speed / usual.mean)
+		w.learnSpeed(speed / usual.Mean)
 	}
-	usual.mean += (speed - usual.mean) / queueSpeedWeight
+	usual.Mean += (speed - usual.Mean) / queueSpeedWeight
 	s[queue] = usual
 }
 
@@ -132,7 +134,7 @@
 	if !ok || !usual.reliable() || s.Estimate <= 0 {
 		return 0, false
 	}
-	return r.rate() / completePercent * s.Estimate.Seconds() / usual.mean, true
+	return r.rate() / completePercent * s.Estimate.Seconds() / usual.Mean, true
 }
 
 // rateElsewhere returns the mean rate of a step's runs on other workers than the given one,
--- a/scheduler/call_test.go
+++ b/scheduler/call_test.go
@@ -21,9 +21,13 @@
 func (d *fakeMembers) Reply(_ string, a intake.Answer)              { d.replies = append(d.replies, a.Reply) }
 
 func newOwner(d *fakeMembers) *scheduler.Owner {
+	return scheduler.New(scheduler.Options{}, nil, nil, nil, nil, d, &scheduler.Counters{}, discardLog())
+}
+
+func discardLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return scheduler.New(scheduler.Options{}, nil, nil, nil, nil, d, &scheduler.Counters{}, logrus.NewEntry(log))
+	return logrus.NewEntry(log)
 }
 
 func submission(id string) intake.Call {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/clock"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/tenure"
 )
 
@@ -56,7 +57,7 @@
 
 func (o *Owner) commit(ctx context.Context, now time.Duration) {
 	o.queueNewJobReplies()
-	changes, err := o.records.drainChanges()
+	changes, err := o.drainChanges(now)
 	if err != nil {
 		o.commitResults <- err
 		return
@@ -73,6 +74,19 @@
 	}()
 }
 
+// drainChanges returns the rows for the next transaction.
+func (o *Owner) drainChanges(now time.Duration) ([]ledger.Change, error) {
+	changes, err := o.records.drainChanges()
+	if err != nil {
+		return nil, err
+	}
+	learned, err := o.learnedChange(now)
+	if err != nil {
+		return nil, err
+	}
+	return append(changes, learned...), nil
+}
+
 // completeCommit runs the effects that waited for the transaction that has just
 // succeeded.
 func (o *Owner) completeCommit() {
@@ -148,7 +162,7 @@
 	}
 	o.dispatch(ctx)
 	o.queueNewJobReplies()
-	changes, err := o.records.drainChanges()
+	changes, err := o.drainChanges(clock.Now())
 	if err != nil {
 		return err
 	}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -171,3 +171,19 @@
 
 // ApplyCatalogue applies a version of the operator's queues at once.
 func (o *Owner) ApplyCatalogue(c workload.Catalogue) { o.cell.SetCatalogue(c) }
+
+// Cell returns the cell of an owner that does not run.
+func (o *Owner) Cell() *cell.Cell { return o.cell }
+
+// LearnedRows returns the rows with what the cell has learned, if they are due.
+func (o *Owner) LearnedRows(now time.Duration) ([]ledger.Row, error) {
+	changes, err := o.learnedChange(now)
+	var rows []ledger.Row
+	for _, c := range changes {
+		rows = append(rows, c.Writes...)
+	}
+	return rows, err
+}
+
+// RecoverLearned calls recoverLearned.
+func (o *Owner) RecoverLearned(ctx context.Context) error { return o.recoverLearned(ctx) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -112,6 +112,8 @@
 	// started.
 	resigned  bool
 	lastPrune time.Duration
+	// lastLearned is when a transaction last recorded what the cell has learned.
+	lastLearned time.Duration
 	// lastLoadLog is when the load was last logged.
 	lastLoadLog time.Duration
 	// resigning is closed once the owner has been asked to release the cell.
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -39,6 +39,7 @@
 	reads.Go(func() error { return recoverTable(readContext, o, &o.records.finished) })
 	reads.Go(func() error { return recoverTable(readContext, o, &o.records.progress) })
 	reads.Go(func() error { return o.recoverWaves(readContext) })
+	reads.Go(func() error { return o.recoverLearned(readContext) })
 	if err := reads.Wait(); err != nil {
 		return errors.Trace(err)
 	}
