--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -206,6 +206,10 @@
 		if errors.Is(err, ErrRejected) {
 			return err
 		}
+		if errors.Is(err, errAnswerLost) {
+			// The store has just answered.
+			pause = minRetryPause
+		}
 		if !timer.Sleep(ctx, pause/2+rand.N(pause)) {
 			return errors.Annotate(err, "context ended before the commit was confirmed")
 		}
