--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -108,12 +108,14 @@
 // preemptibleRuns returns the runs on a worker that may be preempted, the largest first.
 func (c *Cell) preemptibleRuns(now time.Duration, w *worker) []*run {
 	var runs []*run
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs {
 		if c.isPreemptible(now, r) {
 			runs = append(runs, r)
 		}
 	}
-	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(b.size.Processors, a.size.Processors) })
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.size.Processors, a.size.Processors), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
+	})
 	return runs
 }
 
