--- a/cell/property_test.go
+++ b/cell/property_test.go
@@ -508,7 +508,8 @@
 	j := workload.Job{ID: id(tr.next), Queue: queue, Accepted: tr.now.Milliseconds()}
 	for i := range rapid.IntRange(1, 2).Draw(tr.t, "steps") {
 		s := workload.Step{
-			TaskCount: rapid.IntRange(1, 5).Draw(tr.t, "tasks"), Estimate: second, Gang: rapid.Bool().Draw(tr.t, "gang"),
+			TaskCount: rapid.IntRange(1, 5).Draw(tr.t, "tasks"), Gang: rapid.Bool().Draw(tr.t, "gang"),
+			Estimate: rapid.SampledFrom([]time.Duration{second, 20 * second}).Draw(tr.t, "estimate"), Checkpoints: rapid.Bool().Draw(tr.t, "checkpoints"),
 			Size:         task.Size{Processors: int64(rapid.IntRange(1, 4).Draw(tr.t, "processors")) * task.Processor, Memory: task.Gibibyte},
 			MaxPerWorker: 2 * rapid.IntRange(0, 1).Draw(tr.t, "most"), SameRack: rapid.Bool().Draw(tr.t, "rack"),
 		}
