cell: keep what a gang has preempted until the runs have stopped

Cause: the booking of a gang ended 0.2 s after its tickets had arrived, and was planned anew before that if the room was not free yet.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -21,7 +21,8 @@
 	return max(minHoldingGangs, len(c.sortedWorkers)/workersPerHoldingGang)
 }
 
-// bookingGrace is how long capacity stays booked after the tickets have arrived.
+// bookingGrace is how long capacity stays booked after the tickets have arrived and the
+// preempted runs have stopped.
 const bookingGrace = 200 * time.Millisecond
 
 // placeGang starts all tasks of a gang if there is capacity for all of them. It reports false
@@ -39,7 +40,9 @@
 	list := c.candidates(now, s, queue)
 	plan := planGang(s, c.withTickets(now, s, queue, list))
 	if plan == nil {
-		c.askForGang(now, s, queue, list)
+		if s.bookedPlan == nil || now >= s.preemptedUntil {
+			c.askForGang(now, s, queue, list)
+		}
 		holdBooked(s)
 		return false
 	}
@@ -185,7 +188,7 @@
 		if !s.Gang || s.bookedPlan == nil {
 			continue
 		}
-		if !s.tickets.awaitsAnswer(now) && now > s.tickets.answeredAt+bookingGrace {
+		if !s.tickets.awaitsAnswer(now) && now > max(s.tickets.answeredAt, s.preemptedUntil)+bookingGrace {
 			s.bookedPlan = nil
 			continue
 		}
--- a/cell/job.go
+++ b/cell/job.go
@@ -55,6 +55,8 @@
 	bookedPlan []*worker
 	// preemptTriedAt is when preemption was last considered for the gang; 0 is never.
 	preemptTriedAt time.Duration
+	// preemptedUntil is when the runs that were preempted for the gang have stopped.
+	preemptedUntil time.Duration
 }
 
 // taskRecord is the state of one task.
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -37,7 +37,7 @@
 // to preempt so that all of them fit. It returns nil if they do not fit even so, or if the
 // last attempt was too recent. A gang that is to be in one rack waits for capacity there.
 func (c *Cell) planWithPreemption(now time.Duration, s *step, queue workload.Queue, eligible []*worker) ([]*worker, []*run) {
-	if s.SameRack || now > s.latestStart(queue) || s.preemptTriedAt != 0 && now-s.preemptTriedAt < preemptInterval {
+	if s.SameRack || now > s.latestStart(queue) || now < s.preemptedUntil || s.preemptTriedAt != 0 && now-s.preemptTriedAt < preemptInterval {
 		return nil, nil
 	}
 	s.preemptTriedAt = now
@@ -139,6 +139,9 @@
 
 // preempt stops runs to make room for a gang. They resume elsewhere from their checkpoints.
 func (c *Cell) preempt(now time.Duration, s *step, runs []*run) {
+	if len(runs) > 0 {
+		s.preemptedUntil = now + c.options.StopTime + stopMargin
+	}
 	for _, r := range runs {
 		c.withdraw(now, r, "preempted for gang "+s.id.String())
 	}
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -56,3 +56,34 @@
 	w := testGangAmongLongTasks(func(s *workload.Step) { s.Checkpoints, s.Estimate = true, second })
 	qt.Assert(t, w.stops, qt.HasLen, 0)
 }
+
+// Stopping takes longer than the answer of the advice service. The gang must keep what it has
+// preempted: other steps would take it as it becomes free, and the gang would preempt again.
+func TestGangKeepsPreemptedCapacityUntilRunsHaveStopped(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(4)
+	w.submit(job(id(1), "Plain", 20, func(s *workload.Step) { s.Estimate, s.Checkpoints = 10*second, true }))
+	w.advance(second)
+	w.submit(job(id(2), "Advised", 4, func(s *workload.Step) { s.Gang, s.Estimate = true, second }))
+	for _, f := range w.workers {
+		f.unresponsive = true
+	}
+	// The first answer names the workers; the second one has the tickets.
+	for range 2 {
+		w.advise(func(string) bool { return true })
+		w.advance(300 * ms)
+	}
+	preempted := len(w.stops)
+	c.Assert(preempted, qt.Equals, 4)
+	for _, f := range w.workers {
+		f.unresponsive = false
+	}
+	for _, s := range w.stops {
+		w.workers[s.Worker.ID].end(s.Task, s.Run, cell.EndedStopped)
+	}
+	w.submit(job(id(3), "Plain", 4, func(s *workload.Step) { s.Estimate = 100 * ms }))
+	w.reportAll()
+	c.Assert(w.states[id(2)], qt.Equals, workload.Running)
+	c.Assert(w.states[id(3)], qt.Equals, workload.Queued)
+	c.Assert(w.stops, qt.HasLen, preempted)
+}
