--- a/cell/gang_ask.go
+++ b/cell/gang_ask.go
@@ -22,7 +22,7 @@
 )
 
 // askForGang asks for the tickets that a gang lacks, once it would have capacity with them.
-// Runs that are preempted for it end before the answer arrives.
+// Runs that are preempted for it stop while the question is on its way, or soon after.
 func (c *Cell) askForGang(now time.Duration, s *step, queue workload.Queue, eligible []*worker) {
 	if queue.Advice == nil || s.tickets.awaitsAnswer(now) {
 		return
