--- a/review/stand/avail.go
+++ b/review/stand/avail.go
@@ -13,7 +13,7 @@
 	}
 	service := job{
 		id: newID(), spec: spec{Lasts: true},
-		steps: []map[string]any{{"replicas": 4, "cpu": 4000, "mem_mb": 1000, "estimate": 1000, "daemon": true, "perworker": 1, "budget": 1}},
+		steps: []map[string]any{{"tasks": 4, "cpu": 4000, "mem_mb": 1000, "estimate": 1000, "daemon": true, "perworker": 1, "budget": 1}},
 	}
 	if !t.cell.submit("services", service.id, service.document()) {
 		return errors.New("the job was not accepted")
--- a/review/stand/gang.go
+++ b/review/stand/gang.go
@@ -105,7 +105,7 @@
 			}
 		}
 	}
-	j := job{id: newID(), spec: spec{MS: 2000, Gang: 250}, steps: []map[string]any{{"replicas": 250, "cpu": 250, "mem_mb": 64, "estimate": 2000, "gang": true}}}
+	j := job{id: newID(), spec: spec{MS: 2000, Gang: 250}, steps: []map[string]any{{"tasks": 250, "cpu": 250, "mem_mb": 64, "estimate": 2000, "gang": true}}}
 	if !t.cell.submit("gangs", j.id, j.document()) {
 		return errors.New("the job was not accepted")
 	}
--- a/review/stand/long.go
+++ b/review/stand/long.go
@@ -15,7 +15,7 @@
 	if t.trouble {
 		length = 420_000
 	}
-	j := job{id: newID(), spec: spec{MS: length}, steps: []map[string]any{{"replicas": 8, "cpu": 3000, "mem_mb": 1000, "estimate": length}}}
+	j := job{id: newID(), spec: spec{MS: length}, steps: []map[string]any{{"tasks": 8, "cpu": 3000, "mem_mb": 1000, "estimate": length}}}
 	if !t.cell.submit("batch", j.id, j.document()) {
 		return errors.New("the job was not accepted")
 	}
--- a/review/stand/route.go
+++ b/review/stand/route.go
@@ -14,7 +14,7 @@
 		for {
 			j := job{
 				id: newID(), spec: spec{MS: 1500, Label: "a"},
-				steps: []map[string]any{{"replicas": 30, "cpu": 1000, "mem_mb": 64, "estimate": 1500, "requires": "a"}},
+				steps: []map[string]any{{"tasks": 30, "cpu": 1000, "mem_mb": 64, "estimate": 1500, "requires": "a"}},
 			}
 			t.cell.submit("labelled", j.id, j.document())
 			select {
--- a/review/stand/size.go
+++ b/review/stand/size.go
@@ -27,7 +27,7 @@
 	}
 	nightly := job{
 		id: newID(), spec: spec{MS: 1200, Checkpoints: t.trouble}, first: time.Now().Add(2 * time.Second).UnixMilli(), interval: 650, repeats: 70,
-		steps: []map[string]any{{"replicas": 60, "cpu": 200, "mem_mb": 64, "estimate": 1200, "checkpoints": t.trouble}},
+		steps: []map[string]any{{"tasks": 60, "cpu": 200, "mem_mb": 64, "estimate": 1200, "checkpoints": t.trouble}},
 	}
 	var jobs []accepted
 	if !t.cell.submit("nightly", nightly.id, nightly.document()) {
@@ -35,7 +35,7 @@
 	}
 	jobs = append(jobs, accepted{"nightly", nightly.id, 60 * 70})
 	for end := time.Now().Add(62 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		small := job{id: newID(), spec: spec{MS: 300}, steps: []map[string]any{{"replicas": 2, "cpu": 500, "mem_mb": 64, "estimate": 300}}}
+		small := job{id: newID(), spec: spec{MS: 300}, steps: []map[string]any{{"tasks": 2, "cpu": 500, "mem_mb": 64, "estimate": 300}}}
 		status, answer := t.cell.call(len(jobs)%3, "POST", "/lookup/"+small.id, small.document())
 		t.record.line("client POST lookup/%s: %d %s", small.id, status, answer)
 		if status/100 == 2 {
--- a/review/stand/starve.go
+++ b/review/stand/starve.go
@@ -21,18 +21,18 @@
 	}
 	service := job{
 		id: newID(), spec: spec{Lasts: true},
-		steps: []map[string]any{{"replicas": 8, "cpu": 1000, "mem_mb": 1000, "estimate": 1000, "daemon": true, "perworker": 1}},
+		steps: []map[string]any{{"tasks": 8, "cpu": 1000, "mem_mb": 1000, "estimate": 1000, "daemon": true, "perworker": 1}},
 	}
 	if err := hand("services", service); err != nil {
 		return err
 	}
 	if t.trouble {
-		gang := job{id: newID(), spec: spec{MS: 60_000}, steps: []map[string]any{{"replicas": 8, "cpu": 8000, "mem_mb": 1000, "estimate": 60_000, "gang": true}}}
+		gang := job{id: newID(), spec: spec{MS: 60_000}, steps: []map[string]any{{"tasks": 8, "cpu": 8000, "mem_mb": 1000, "estimate": 60_000, "gang": true}}}
 		if err := hand("gangs", gang); err != nil {
 			return err
 		}
 	}
-	batch := job{id: newID(), spec: spec{MS: 90_000}, steps: []map[string]any{{"replicas": 4, "cpu": 1000, "mem_mb": 1000, "estimate": 90_000}}}
+	batch := job{id: newID(), spec: spec{MS: 90_000}, steps: []map[string]any{{"tasks": 4, "cpu": 1000, "mem_mb": 1000, "estimate": 90_000}}}
 	if err := hand("batch", batch); err != nil {
 		return err
 	}
--- a/review/stand/twice.go
+++ b/review/stand/twice.go
@@ -45,7 +45,7 @@
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		j := job{id: newID(), spec: spec{MS: 300}, steps: []map[string]any{{"replicas": 1, "cpu": 200, "mem_mb": 64, "estimate": 300}}}
+		j := job{id: newID(), spec: spec{MS: 300}, steps: []map[string]any{{"tasks": 1, "cpu": 200, "mem_mb": 64, "estimate": 300}}}
 		go func() {
 			status, answer := t.cell.call(i%3, "POST", "/plain/"+j.id, j.document())
 			t.record.line("client POST plain/%s: %d %s", j.id, status, answer)
@@ -60,8 +60,8 @@
 		return err
 	}
 	c := t.cell
-	long := job{id: newID(), spec: spec{MS: 40000}, steps: []map[string]any{{"replicas": 6, "cpu": 1000, "mem_mb": 64, "estimate": 40000}}}
-	short := job{id: newID(), spec: spec{MS: 4000, Step: 100}, steps: []map[string]any{{"replicas": 60, "cpu": 100, "mem_mb": 64, "estimate": 8000}}}
+	long := job{id: newID(), spec: spec{MS: 40000}, steps: []map[string]any{{"tasks": 6, "cpu": 1000, "mem_mb": 64, "estimate": 40000}}}
+	short := job{id: newID(), spec: spec{MS: 4000, Step: 100}, steps: []map[string]any{{"tasks": 60, "cpu": 100, "mem_mb": 64, "estimate": 8000}}}
 	if !c.submit("plain", long.id, long.document()) || !c.submit("plain", short.id, short.document()) {
 		return errors.New("a job was not accepted")
 	}
