intake, scheduler: log who acknowledges a cancellation, and with what

A cancelled job ran on, and the logs of the hosts could not tell whether its cancellation had been recorded, or answered with 410 by an owner that did not know the job, nor which tenure answered. An entry host now logs each cancellation with its outcome, the fencing token of the owner that replied and the copies sent; the owner logs and counts cancellations of jobs that it does not know, with the age of its last commit (unknown_cancels_total).

--- a/front/serve.go
+++ b/front/serve.go
@@ -105,6 +105,7 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "vanillaquay_%s %v\n", name, value) }
 	line("jobs_accepted_total", h.counters.Accepted.Load())
 	line("jobs_refused_total", h.counters.Refused.Load())
+	line("unknown_cancels_total", h.counters.UnknownCancels.Load())
 	line("starts_total", h.counters.Starts.Load())
 	line("stops_total", h.counters.Stops.Load())
 	line("looks_total", h.counters.Holds.Load())
--- a/intake/forwarder.go
+++ b/intake/forwarder.go
@@ -141,24 +141,25 @@
 	f.pending[c.Number] = p
 	f.mu.Unlock()
 	begun := time.Now()
-	reply := f.awaitReply(ctx, c, p)
+	var sentCopies copies
+	reply := f.awaitReply(ctx, c, p, &sentCopies)
 	f.mu.Lock()
 	delete(f.pending, c.Number)
 	f.mu.Unlock()
-	if c.Verb == Submit || reply.Outcome == Unknown || reply.Outcome == Unavailable {
+	if c.Verb == Submit || c.Verb == Cancel || reply.Outcome == Unknown || reply.Outcome == Unavailable {
 		f.log.WithFields(logrus.Fields{
-			"job": c.ID, "verb": c.Verb, "queue": c.Queue, "outcome": reply.Outcome, "why": reply.Why, "ms": time.Since(begun).Milliseconds(),
+			"job": c.ID, "verb": c.Verb, "queue": c.Queue, "outcome": reply.Outcome, "why": reply.Why, "fence": reply.Fence, "copies": sentCopies.sent,
+			"ms": time.Since(begun).Milliseconds(),
 		}).Info("intake: call answered")
 	}
 	return reply
 }
 
-func (f *Forwarder) awaitReply(ctx context.Context, c Call, p *pendingCall) Reply {
+func (f *Forwarder) awaitReply(ctx context.Context, c Call, p *pendingCall, sentCopies *copies) Reply {
 	unsentTimer := time.NewTimer(unsentTimeout)
 	defer unsentTimer.Stop()
 	resendTicker := time.NewTicker(resendInterval)
 	defer resendTicker.Stop()
-	var sentCopies copies
 	send := func() {
 		if sentCopies.maySend() && f.sender.Send(c) {
 			sentCopies.sent++
--- a/intake/forwarder_test.go
+++ b/intake/forwarder_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -171,3 +172,22 @@
 	laterForwarder.HandleAnswer(intake.Answer{Number: call.Number, Reply: intake.Reply{Outcome: intake.NotFound}})
 	c.Assert((<-replies).Outcome, qt.Equals, intake.NotFound)
 }
+
+// A job runs although its cancellation was acknowledged. The log must tell with which outcome,
+// and by which tenure, or a replaced owner can't be told from one that was asked too early.
+func TestCancellationIsLoggedWithItsOwner(t *testing.T) {
+	c := qt.New(t)
+	s := newFakeSender()
+	log, lines := logtest.NewNullLogger()
+	f := intake.NewForwarder(s, logrus.NewEntry(log))
+	go func() {
+		call := <-s.sent
+		f.HandleAnswer(intake.Answer{Number: call.Number, Reply: intake.Reply{Outcome: intake.NotFound, Fence: 7}})
+	}()
+	c.Assert(f.Cancel(context.Background(), "q", "j").Outcome, qt.Equals, intake.NotFound)
+	line := lines.LastEntry()
+	c.Assert(line, qt.IsNotNil)
+	c.Assert(line.Data["job"], qt.Equals, "j")
+	c.Assert(line.Data["outcome"], qt.Equals, intake.NotFound)
+	c.Assert(line.Data["fence"], qt.Equals, int64(7))
+}
--- a/intake/reply.go
+++ b/intake/reply.go
@@ -34,6 +34,8 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	// Why is the reason, for the log.
 	Why string `cbor:"5,keyasint,omitempty"`
+	// Fence is the fencing token of the owner that replied, for the log; 0 if none did.
+	Fence int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // isRefusal reports whether a reply says that the call had no effect.
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -21,14 +23,17 @@
 // replies at once, or when the effect of the call has been recorded.
 func (o *Owner) handleCall(now, waited time.Duration, from string, c intake.Call) {
 	o.peakCallDelay.Store(max(o.peakCallDelay.Load(), int64(waited)))
-	reply := func(r intake.Reply) { o.members.Reply(from, intake.Answer{Number: c.Number, Reply: r}) }
+	reply := func(r intake.Reply) {
+		r.Fence = o.Fence()
+		o.members.Reply(from, intake.Answer{Number: c.Number, Reply: r})
+	}
 	switch c.Verb {
 	case intake.Submit:
 		o.submit(now, waited, c, reply)
 	case intake.State:
 		reply(o.state(c.ID))
 	case intake.Cancel:
-		o.cancel(now, c, reply)
+		o.cancel(now, from, c, reply)
 	case intake.Waiting:
 		reply(intake.Reply{Outcome: intake.Counted, Waiting: o.cell.WaitingJobCount(c.Queue)})
 	}
@@ -128,9 +133,13 @@
 	return intake.Reply{Outcome: intake.NotFound}
 }
 
-func (o *Owner) cancel(now time.Duration, c intake.Call, reply func(intake.Reply)) {
+func (o *Owner) cancel(now time.Duration, from string, c intake.Call, reply func(intake.Reply)) {
 	_, isFinished := o.records.finished.get(c.ID)
 	if !isFinished && !o.cell.Cancel(now, c.ID) {
+		o.counters.UnknownCancels.Add(1)
+		o.log.WithFields(logrus.Fields{
+			"job": c.ID, "host": from, "fence": o.Fence(), "commit_age_ms": (now - time.Duration(o.lastCommitEnd.Load())).Milliseconds(),
+		}).Info("scheduler: cancelled job not known")
 		reply(intake.Reply{Outcome: intake.NotFound})
 		return
 	}
--- a/scheduler/call_test.go
+++ b/scheduler/call_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillaquay/vanillaquay/intake"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -21,7 +22,7 @@
 func (d *fakeMembers) Reply(_ string, a intake.Answer)              { d.replies = append(d.replies, a.Reply) }
 
 func newOwner(d *fakeMembers) *scheduler.Owner {
-	return scheduler.New(scheduler.Options{}, nil, nil, nil, nil, d, &scheduler.Counters{}, discardLog())
+	return scheduler.New(scheduler.Options{}, &ledger.Ledger{}, nil, nil, nil, d, &scheduler.Counters{}, discardLog())
 }
 
 func discardLog() *logrus.Entry {
