scheduler: an owner says that a job is unknown only once a transaction shows that it still owns the cell

Cause: an owner answered "no such job" from its memory. An owner that was paused, or that can't reach the store, may have been replaced without knowing it, and its memory lacks what its successor has accepted. Every other answer with a promise already waited for a transaction; this one did not.

The answer is now an effect of the next transaction, which the store rejects if another owner has the cell. A replaced owner gives no answer, and the entry host sends the call to the successor.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -31,7 +31,7 @@
 	case intake.Submit:
 		o.submit(now, waited, c, reply)
 	case intake.State:
-		reply(o.state(c.ID))
+		o.replyState(c.ID, reply)
 	case intake.Cancel:
 		o.cancel(now, from, c, reply)
 	case intake.Waiting:
@@ -118,6 +118,22 @@
 	}
 }
 
+// replyState replies with the state of a job.
+func (o *Owner) replyState(id string, reply func(intake.Reply)) {
+	if r := o.state(id); r.Outcome != intake.NotFound {
+		reply(r)
+		return
+	}
+	o.replyNotFound(reply)
+}
+
+// replyNotFound replies that a job is unknown once the next transaction has shown that this
+// owner still had the cell when it was asked: a successor may have accepted the job. An owner
+// that has been paused or cut off from the store learns of a successor only by a transaction.
+func (o *Owner) replyNotFound(reply func(intake.Reply)) {
+	o.pendingEffects = append(o.pendingEffects, func() { reply(intake.Reply{Outcome: intake.NotFound}) })
+}
+
 // state returns the recorded state of a job. A job whose final state is still to be
 // recorded is reported as running.
 func (o *Owner) state(id string) intake.Reply {
@@ -140,7 +156,7 @@
 		o.log.WithFields(logrus.Fields{
 			"job": c.ID, "host": from, "fence": o.Fence(), "commit_age_ms": (now - time.Duration(o.lastCommitEnd.Load())).Milliseconds(),
 		}).Info("scheduler: cancelled job not known")
-		reply(intake.Reply{Outcome: intake.NotFound})
+		o.replyNotFound(reply)
 		return
 	}
 	o.pendingEffects = append(o.pendingEffects, acceptance(reply))
