scheduler: a job that was cancelled before its submission arrived never runs

Cause: a cancellation of an unknown job was answered with 410, and left no trace. A submission is sent in copies: by its caller to another host after no answer, and by the entry host each half second. A copy that waits in a link, in a socket of a paused host or in the event queue of an owner may arrive after that acknowledgement. It was then accepted as a new job.

The owner now records the cancellation of an unknown job with the final states (state PreCancelled) before it acknowledges it, and keeps it as long as those. A submission that arrives later is acknowledged, once recorded, as the cancelled job that it is. Until then callers are told that there is no such job. At most 10,000 such entries are kept; beyond that a cancellation is refused with 429.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -42,23 +42,16 @@
 // submit accepts a job, and replies once the job has been recorded. A repeated submission
 // of a recorded job is accepted at once, even while the store is unavailable.
 func (o *Owner) submit(now, waited time.Duration, c intake.Call, reply func(intake.Reply)) {
-	if _, known := o.records.finished.get(c.ID); !known {
-		if _, known := o.cell.State(c.ID); !known {
-			if o.commitTooSlow(now) {
-				o.refuseUnavailable(now, reply)
-				return
-			}
-			if waited > MaxCallDelay {
-				o.counters.Refused.Add(1)
-				reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: overloadRetryAfter, Why: "the owner is behind"})
-				return
-			}
-			job := c.Job
-			job.Accepted = time.Now().UnixMilli()
-			o.cell.Submit(now, job)
-			o.counters.Accepted.Add(1)
-			o.newJobReplies[c.ID] = nil
+	if !o.isSubmitted(c.ID) {
+		if o.commitTooSlow(now) {
+			o.refuseUnavailable(now, reply)
+			return
+		}
+		if waited > MaxCallDelay {
+			o.refuseOverloaded(reply, "the owner is behind")
+			return
 		}
+		o.accept(now, c.Job)
 	}
 	if waiting, ok := o.newJobReplies[c.ID]; ok {
 		o.newJobReplies[c.ID] = append(waiting, reply)
@@ -71,6 +64,29 @@
 	acceptance(reply)()
 }
 
+// isSubmitted reports whether a submission of a job has been accepted.
+func (o *Owner) isSubmitted(id string) bool {
+	if _, final := o.records.finished.get(id); final {
+		return !o.records.isPreCancelled(id)
+	}
+	_, known := o.cell.State(id)
+	return known
+}
+
+// accept adds a job, which is recorded by the next transaction. One that was cancelled before
+// its submission arrived is recorded as cancelled and never runs.
+func (o *Owner) accept(now time.Duration, job workload.Job) {
+	wall := time.Now().UnixMilli()
+	if o.records.isPreCancelled(job.ID) {
+		o.records.submitPreCancelled(wall, job.ID)
+	} else {
+		job.Accepted = wall
+		o.cell.Submit(now, job)
+	}
+	o.counters.Accepted.Add(1)
+	o.newJobReplies[job.ID] = nil
+}
+
 // acceptance returns an effect that replies to a call with Accepted.
 func acceptance(reply func(intake.Reply)) func() {
 	return func() { reply(intake.Reply{Outcome: intake.Accepted}) }
@@ -85,6 +101,12 @@
 	reply(intake.Reply{Outcome: intake.Unavailable, RetryAfter: after, Why: "the store is slow or away"})
 }
 
+// refuseOverloaded refuses a call that has had no effect.
+func (o *Owner) refuseOverloaded(reply func(intake.Reply), why string) {
+	o.counters.Refused.Add(1)
+	reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: overloadRetryAfter, Why: why})
+}
+
 // queueNewJobReplies makes the replies to new jobs effects of the next transaction, which
 // records these jobs.
 func (o *Owner) queueNewJobReplies() {
@@ -140,7 +162,7 @@
 	if o.pendingFinal[id] {
 		return intake.Reply{Outcome: intake.Reported, State: workload.Running}
 	}
-	if f, ok := o.records.finished.get(id); ok {
+	if f, ok := o.records.finished.get(id); ok && f.State != preCancelled {
 		return intake.Reply{Outcome: intake.Reported, State: f.State}
 	}
 	if s, ok := o.cell.State(id); ok {
@@ -149,15 +171,25 @@
 	return intake.Reply{Outcome: intake.NotFound}
 }
 
+// cancel cancels a job, and replies once that has been recorded. An unknown job is recorded
+// too, as a copy of its submission may still arrive.
 func (o *Owner) cancel(now time.Duration, from string, c intake.Call, reply func(intake.Reply)) {
-	_, isFinished := o.records.finished.get(c.ID)
-	if !isFinished && !o.cell.Cancel(now, c.ID) {
+	if o.isSubmitted(c.ID) {
+		// A job that is final stays as it is.
+		o.cell.Cancel(now, c.ID)
+		o.pendingEffects = append(o.pendingEffects, acceptance(reply))
+		return
+	}
+	if !o.records.isPreCancelled(c.ID) {
+		if o.records.preCancelledCount >= MaxPreCancelled {
+			o.refuseOverloaded(reply, "too many unknown jobs were cancelled")
+			return
+		}
+		o.records.preCancel(time.Now().UnixMilli(), c.ID)
 		o.counters.UnknownCancels.Add(1)
 		o.log.WithFields(logrus.Fields{
 			"job": c.ID, "host": from, "fence": o.Fence(), "commit_age_ms": (now - time.Duration(o.lastCommitEnd.Load())).Milliseconds(),
 		}).Info("scheduler: cancelled job not known")
-		o.replyNotFound(reply)
-		return
 	}
-	o.pendingEffects = append(o.pendingEffects, acceptance(reply))
+	o.replyNotFound(reply)
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -185,7 +185,11 @@
 	o.lastPrune = now
 	oldest := time.Now().Add(-o.options.StatusRetention - time.Minute).UnixMilli()
 	var old []string
+	o.records.preCancelledCount = 0
 	o.records.finished.forEach(func(id string, f finished) {
+		if f.State == preCancelled {
+			o.records.preCancelledCount++
+		}
 		if f.At < oldest && !o.pendingFinal[id] && !o.records.jobs.hasRow(id) {
 			old = append(old, id)
 		}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -65,6 +65,12 @@
 	return ok
 }
 
+// PreCancel calls preCancel.
+func (r *records) PreCancel(wall int64, id string) { r.preCancel(wall, id) }
+
+// IsPreCancelled calls isPreCancelled.
+func (r *records) IsPreCancelled(id string) bool { return r.isPreCancelled(id) }
+
 // SendCopies exports sendCopies.
 var SendCopies = sendCopies
 
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -18,6 +18,16 @@
 	At int64
 }
 
+const (
+	// preCancelled is the retained state of a job that was cancelled before any copy of its
+	// submission arrived. Callers are told that there is no such job until one arrives, and
+	// then that it is cancelled.
+	preCancelled workload.State = "PreCancelled"
+	// MaxPreCancelled bounds the jobs in that state, each of which takes some 50 bytes of
+	// the store and of the time of a takeover.
+	MaxPreCancelled = 10000
+)
+
 // records mirrors the rows of the cell's jobs in the store, including changes that are
 // about to be written. A final job has an entry in finished, and an entry in progress as
 // long as its runs use capacity. After that its row in the job table is removed when
@@ -27,6 +37,8 @@
 	progress pagedTable[cell.Progress]
 	finished pagedTable[finished]
 	jobs     *jobPages
+	// preCancelledCount bounds the number of jobs in the state preCancelled from above.
+	preCancelledCount int
 	// waves holds the progress of waves that has changed.
 	waves []upkeep.Progress
 }
@@ -57,6 +69,24 @@
 	}
 }
 
+// isPreCancelled reports whether a job was cancelled and has not been submitted.
+func (r *records) isPreCancelled(id string) bool {
+	f, ok := r.finished.get(id)
+	return ok && f.State == preCancelled
+}
+
+// preCancel notes that an unknown job was cancelled. wall is the time in milliseconds since
+// 1970.
+func (r *records) preCancel(wall int64, id string) {
+	r.preCancelledCount++
+	r.finished.set(id, finished{State: preCancelled, At: wall})
+}
+
+// submitPreCancelled notes that a job was submitted after its cancellation.
+func (r *records) submitPreCancelled(wall int64, id string) {
+	r.finished.set(id, finished{State: workload.Cancelled, At: wall})
+}
+
 // abandon removes a job that was added and not drained yet.
 func (r *records) abandon(id string) {
 	r.jobs.abandon(id)
