front: an owner that hears of its successor ends its tenure at once

What callers saw: a host that was cut off from the store, and had been the owner, kept calls of its callers and of other hosts to itself.

Cause: a tenure ended by a transaction or by a worker only. An announcement of the successor, or its lease, changed what the host knew of the cell but not the owner that ran on it, and none of its transactions ends while it is cut off.

A host that learns of a later fencing token now ends its own tenure, and sends the calls that it leaves without a reply to the successor.

--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -22,6 +22,7 @@
 	"github.com/vanillaquay/vanillaquay/cli"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/platformstandin"
+	"github.com/vanillaquay/vanillaquay/proxytest"
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
 
@@ -95,8 +96,24 @@
 	return deployUnequal(t, make([]float64, hosts), workers, length)
 }
 
+// deployBehindProxies is like deploy, with a proxy between each host and the store.
+func deployBehindProxies(t *testing.T, hosts, workers int, length time.Duration) (*deployment, []*proxytest.Proxy) {
+	var proxies []*proxytest.Proxy
+	d := deployWith(t, make([]float64, hosts), workers, length, func(store string) string {
+		proxies = append(proxies, proxytest.New(t, store))
+		return proxies[len(proxies)-1].Address()
+	})
+	return d, proxies
+}
+
 // deployUnequal is like deploy, for hosts with the given shares of processor time.
 func deployUnequal(t *testing.T, shares []float64, workers int, length time.Duration) *deployment {
+	return deployWith(t, shares, workers, length, func(store string) string { return store })
+}
+
+// deployWith is like deployUnequal. storeFor is called for each host with the address of the
+// store, and returns the address that the host uses.
+func deployWith(t *testing.T, shares []float64, workers int, length time.Duration, storeFor func(store string) string) *deployment {
 	networks.Lock()
 	networks.n++
 	net1, net2 := 10+os.Getpid()%200, networks.n
@@ -123,7 +140,7 @@
 			"node": h.name, "zone": "z", "region": "r", "ip": h.ip, "port_range": []int{peerPort, peerPort + 15},
 			"listen":    map[string]string{"front": fmt.Sprintf("%s:%d", h.ip, callerPort), "ready": fmt.Sprintf("%s:%d", h.ip, readyPort)},
 			"limits":    map[string]any{"memory_mb": 284, "cpu_share": share},
-			"platform":  map[string]any{"addr": strings.TrimPrefix(store.URL, "http://"), "form": "table", "row_bytes": 65536},
+			"platform":  map[string]any{"addr": storeFor(strings.TrimPrefix(store.URL, "http://")), "form": "table", "row_bytes": 65536},
 			"advice":    strings.TrimPrefix(advisor.URL, "http://"),
 			"bounds":    map[string]any{"max_hold_ms": 6000, "grace_s": 6, "stop_ms": 900, "status_s": 120, "maintenance_s": 0.4, "lease_ms": takeoverPause.Milliseconds()},
 			"cloud_api": map[string]any{"addr": strings.TrimPrefix(machines.URL, "http://")}, "orders": "call", "heartbeat_ms": 1500,
--- a/front/replaced_test.go
+++ b/front/replaced_test.go
@@ -46,3 +46,30 @@
 		qt.Assert(t, body, qt.Equals, "{\"state\":\"cancelled\"}\n", qt.Commentf("round %d", round))
 	}
 }
+
+// The owner is cut off from the store alone and another host takes the cell. As soon as the
+// first hears of its successor it must forward calls to it: none of its own transactions ends
+// while it is cut off, so that callers connected to it would get no answer.
+func TestOwnerCutOffFromStoreForwardsCallsToItsSuccessor(t *testing.T) {
+	c := qt.New(t)
+	d, proxies := deployBehindProxies(t, 3, 2, 30*time.Second)
+	for n, h := range d.hosts {
+		d.submit(h, "plain", n, 1)
+	}
+	cut := d.owner()
+	for n, h := range d.hosts {
+		if h == cut {
+			proxies[n].Cut(true)
+		}
+	}
+	other := d.other(cut)
+	d.submit(other, "plain", 10, 1)
+	for n, want := range []int{http.StatusOK, http.StatusOK, http.StatusGone} {
+		begun := time.Now()
+		status, _ := d.call(cut, []string{http.MethodGet, http.MethodDelete, http.MethodGet}[n], path("plain", []int{10, 10, 11}[n]), "")
+		c.Check(status, qt.Equals, want, qt.Commentf("call %d", n))
+		c.Check(time.Since(begun) < time.Second, qt.IsTrue, qt.Commentf("call %d took %s", n, time.Since(begun)))
+	}
+	_, body := d.call(other, http.MethodGet, path("plain", 10), "")
+	c.Assert(body, qt.Equals, "{\"state\":\"cancelled\"}\n")
+}
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -118,7 +118,12 @@
 		h.link = h.link.WithOwner(now)
 	}
 	recovered := h.lease.StoreRecovered(previous)
+	own := h.owner
 	h.mu.Unlock()
+	if own != nil && fence > own.Fence() {
+		// It may be cut off from the store, so that no transaction tells it.
+		own.Supersede()
+	}
 	if recovered {
 		h.log.WithField("away_ms", (now - previous.LastStoreReply).Milliseconds()).Info("front: the store is back")
 		h.refreshWatches()
@@ -285,6 +290,8 @@
 	h.owner = nil
 	h.mu.Unlock()
 	h.updateLinks()
+	// This tenure has left calls without a reply.
+	h.forwarder.ResendPending()
 	h.updateLease(func(now time.Duration, state tenure.LeaseState) tenure.LeaseState {
 		if state.Fence == l.Fence() {
 			state.Owner = ""
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -37,8 +37,8 @@
 			return ctx.Err()
 		case <-o.resigning:
 			return o.resign(ctx)
-		case <-o.fenced:
-			return errors.Annotate(ledger.ErrNotOwner, "a worker has seen a higher fencing token")
+		case <-o.superseded:
+			return errors.Annotate(ledger.ErrNotOwner, "a later owner has the cell")
 		case e := <-o.events.Values():
 			o.handleEvent(e)
 		case <-tick.C:
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -98,9 +98,9 @@
 	inFlightSince atomic.Int64
 	// lostAnswers counts the lost answers of workers.
 	lostAnswers answerLosses
-	// fenced is closed once a worker has rejected this owner's fencing token as outdated.
-	fenced     chan struct{}
-	fencedOnce sync.Once
+	// superseded is closed once a later owner is known to have taken the cell.
+	superseded     chan struct{}
+	supersededOnce sync.Once
 	// lastSchedule is the time of the last scheduling pass.
 	lastSchedule time.Duration
 	// peakCallDelay is the longest time that a call has waited since the last
@@ -128,7 +128,7 @@
 		events: ring.New[event](maxQueuedEvents), cell: cell.New(options.CellOptions), sessions: map[string]*workerSession{}, ramp: newWorkerRamp(),
 		records:       newRecords(options.Cell),
 		waves:         waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](maxQueuedStatuses)},
-		newJobReplies: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, commitResults: make(chan error, 1), tenureStart: clock.Now(), resigning: make(chan struct{}), fenced: make(chan struct{}),
+		newJobReplies: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, commitResults: make(chan error, 1), tenureStart: clock.Now(), resigning: make(chan struct{}), superseded: make(chan struct{}),
 	}
 }
 
@@ -193,6 +193,10 @@
 // calls have no effect.
 func (o *Owner) Resign() { o.resigningOnce.Do(func() { close(o.resigning) }) }
 
+// Supersede makes Run return because a later owner has taken the cell. Nothing more is
+// recorded, and calls without a reply get none. Further calls have no effect.
+func (o *Owner) Supersede() { o.supersededOnce.Do(func() { close(o.superseded) }) }
+
 // Run schedules until the context ends or the cell is lost. The error satisfies
 // ledger.ErrNotOwner if another owner has the cell.
 func (o *Owner) Run(ctx context.Context, catalogue workload.Catalogue) error {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -268,7 +268,7 @@
 	o := d.owner
 	if errors.Is(err, cell.ErrFenced) {
 		o.counters.Fenced.Add(1)
-		o.fencedOnce.Do(func() { close(o.fenced) })
+		o.Supersede()
 	}
 	if d.clockOffset.Swap(nil) != nil {
 		o.log.WithFields(logrus.Fields{"worker": d.worker.Load().ID, "why": err.Error()}).Warn("scheduler: worker silent")
