scheduler: a queued order to start is dropped once its run is withdrawn

Cause: an order to start was checked against the cell when it was queued for its worker. It may wait there for up to 2 s behind orders to a slow worker, and is sent in up to three copies of 0.3 s; a job that was cancelled meanwhile was started all the same, and stopped after.

A run now carries a flag that is set when it is withdrawn or closed, and that the senders read before each copy.

Evidence: TestQueuedStartOfCancelledJobIsNotSent; without the check the two queued orders and six further copies were sent after the cancellation had been acknowledged.

--- a/cell/run.go
+++ b/cell/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/chart"
@@ -52,6 +53,9 @@
 	restored bool
 	// orderedShare is the last processor share that was ordered, in percent.
 	orderedShare int
+	// isRevoked reports whether the run must not be started any more. It is read while the
+	// order to start is being sent.
+	isRevoked atomic.Bool
 }
 
 // runKey identifies a run on a worker.
@@ -114,6 +118,10 @@
 	return r != nil && r == s.run && r.state == placed && !w.Draining
 }
 
+// IsRevoked reports whether an order to start that was to be sent no longer is. It may be
+// called concurrently with the methods of the cell.
+func (s Start) IsRevoked() bool { return s.run != nil && s.run.isRevoked.Load() }
+
 // HandleUnsentStart processes an order to start that was not sent and won't be.
 func (c *Cell) HandleUnsentStart(now time.Duration, s Start) {
 	if w := c.workers[s.Worker.ID]; w != nil && w.runs[runKey{s.Task, s.Run}] == s.run {
@@ -194,6 +202,7 @@
 		return
 	}
 	c.applyEvent(r, "Withdraw")
+	r.isRevoked.Store(true)
 	c.log(LogEntry{Event: "run withdrawn", Job: r.id.Job, Task: r.id.String(), Run: r.number, Worker: r.worker.ID, Reason: reason})
 	c.sendStop(now, r)
 }
@@ -206,6 +215,7 @@
 // closeRun frees the capacity of a run that can no longer be running.
 func (c *Cell) closeRun(now time.Duration, w *worker, r *run) {
 	r.state = closed
+	r.isRevoked.Store(true)
 	w.remove(r)
 	c.stale = true
 	s, t := c.findTask(r.id)
--- /dev/null
+++ b/scheduler/revoked_test.go
@@ -0,0 +1,100 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/clock"
+	"github.com/vanillaquay/vanillaquay/intake"
+	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/scheduler"
+	"github.com/vanillaquay/vanillaquay/workload"
+)
+
+// storeWithWorker is a store in which one worker is announced.
+type storeWithWorker struct{ heldStore }
+
+func (s *storeWithWorker) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
+	if table != platform.WorkerTable {
+		return ledger.Page{}, nil
+	}
+	return ledger.Page{Rows: []ledger.Row{{Table: table, Key: "w", Value: []byte(
+		`{"service":"S","addr":"127.0.0.1:1","state":"ready","slots":64,"capacity":{"cpu":64000,"mem_mb":64000},"born":1}`)}}}, nil
+}
+
+// slowWorker answers no order to start until it is released.
+type slowWorker struct {
+	fakeWorkers
+	released chan struct{}
+	mu       sync.Mutex
+	// jobs holds the jobs of all orders to start.
+	jobs []string
+}
+
+func (w *slowWorker) Start(ctx context.Context, s platform.StartOrder) cell.Answer {
+	w.mu.Lock()
+	w.jobs = append(w.jobs, s.Task.Job)
+	w.mu.Unlock()
+	select {
+	case <-w.released:
+		return cell.Accepted
+	case <-ctx.Done():
+		return cell.NoAnswer
+	}
+}
+
+func (w *slowWorker) Stop(context.Context, string, string, workload.TaskID, int, int64) cell.Answer {
+	return cell.Accepted
+}
+
+func (w *slowWorker) Hold(context.Context, string, string, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
+	return platform.HoldResponse{Clock: clock.Now().Milliseconds(), Report: cell.Report{Life: 1, Complete: true}}, nil
+}
+
+func (w *slowWorker) started() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.jobs)
+}
+
+// A worker is slow, so that orders to start queue behind others, and their jobs are cancelled
+// meanwhile. The queued orders must not be sent after the cancellation is acknowledged
+// (UNASKED).
+func TestQueuedStartOfCancelledJobIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store, replies, worker := &storeWithWorker{}, make(replyChannel, 20), &slowWorker{released: make(chan struct{})}
+	l, err := ledger.Acquire(ctx, store, "C", "a", "i", ledger.Lease{})
+	c.Assert(err, qt.IsNil)
+	options := scheduler.Options{StatusRetention: time.Minute, CellOptions: cell.Options{Lease: 4 * time.Second, StartLease: 2500 * time.Millisecond, StopTime: 100 * time.Millisecond}}
+	o := scheduler.New(options, l, store, worker, nil, replies, &scheduler.Counters{}, discardLog())
+	go func() {
+		_ = o.Run(ctx, workload.Catalogue{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "S", MaxAttempts: 3}}})
+	}()
+	// The first jobs occupy the senders of the worker.
+	const jobs = 4
+	for n := range jobs {
+		o.HandleCall("h", submission(fmt.Sprint(n)))
+		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	}
+	for end := time.Now().Add(5 * time.Second); len(worker.started()) < 2; time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("no order to start"))
+	}
+	for n := range jobs {
+		o.HandleCall("h", cancellation(fmt.Sprint(n)))
+		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	}
+	sent := len(worker.started())
+	// The orders that the worker does not answer are given up after 0.9 s.
+	time.Sleep(1200 * time.Millisecond)
+	c.Assert(worker.started()[sent:], qt.HasLen, 0)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -301,7 +301,7 @@
 	}
 	sent := clock.Now()
 	offset := d.clockOffset.Load()
-	if offset == nil || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime {
+	if offset == nil || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || s.IsRevoked() {
 		answered(cell.Unsent)
 		return
 	}
@@ -310,7 +310,12 @@
 		Address: w.Address, Worker: w.ID, Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		FencingToken: o.Fence(), LeaseUntil: (sent + *offset + o.options.CellOptions.StartLease).Milliseconds(),
 	}
-	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer { return o.workers.Start(ctx, start) })
+	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
+		if s.IsRevoked() {
+			return cell.Unsent
+		}
+		return o.workers.Start(ctx, start)
+	})
 	o.counters.Starts.Add(1)
 	o.counters.Order.Record(clock.Now() - sent)
 	answered(answer)
