scheduler: refuse calls for unknown jobs at once while the store records nothing

What callers saw: since an owner confirms by a transaction that a job is unknown, a question for such a job or its cancellation would wait until the caller's deadline while the store is away.

They are now refused with 503 and a time to come back, like new jobs. The refusal is true: nothing has been noted of the cancellation.

Evidence: TestStalledStoreRefusesCallsForUnknownJobs got no reply before.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -31,7 +31,7 @@
 	case intake.Submit:
 		o.submit(now, waited, c, reply)
 	case intake.State:
-		o.replyState(c.ID, reply)
+		o.replyState(now, c.ID, reply)
 	case intake.Cancel:
 		o.cancel(now, from, c, reply)
 	case intake.Waiting:
@@ -44,10 +44,12 @@
 func (o *Owner) submit(now, waited time.Duration, c intake.Call, reply func(intake.Reply)) {
 	if !o.isSubmitted(c.ID) {
 		if o.commitTooSlow(now) {
+			o.counters.Refused.Add(1)
 			o.refuseUnavailable(now, reply)
 			return
 		}
 		if waited > MaxCallDelay {
+			o.counters.Refused.Add(1)
 			o.refuseOverloaded(reply, "the owner is behind")
 			return
 		}
@@ -92,18 +94,16 @@
 	return func() { reply(intake.Reply{Outcome: intake.Accepted}) }
 }
 
-// refuseUnavailable refuses a new job because the store is slow or unavailable. The
-// caller is told to wait for as long as the outage has lasted so far, within bounds: it is
-// expected to last as long again.
+// refuseUnavailable refuses a call that needs a transaction and has had no effect, because
+// the store is slow or unavailable. The caller is told to wait for as long as the outage has
+// lasted so far, within bounds: it is expected to last as long again.
 func (o *Owner) refuseUnavailable(now time.Duration, reply func(intake.Reply)) {
-	o.counters.Refused.Add(1)
 	after := min(maxRetryAfter, max(minRetryAfter, now-o.commitStart))
 	reply(intake.Reply{Outcome: intake.Unavailable, RetryAfter: after, Why: "the store is slow or away"})
 }
 
 // refuseOverloaded refuses a call that has had no effect.
 func (o *Owner) refuseOverloaded(reply func(intake.Reply), why string) {
-	o.counters.Refused.Add(1)
 	reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: overloadRetryAfter, Why: why})
 }
 
@@ -135,18 +135,22 @@
 		o.dispatcher.RemoveJob(id)
 		delete(o.newJobReplies, id)
 		for _, reply := range replies {
+			o.counters.Refused.Add(1)
 			o.refuseUnavailable(now, reply)
 		}
 	}
 }
 
 // replyState replies with the state of a job.
-func (o *Owner) replyState(id string, reply func(intake.Reply)) {
-	if r := o.state(id); r.Outcome != intake.NotFound {
+func (o *Owner) replyState(now time.Duration, id string, reply func(intake.Reply)) {
+	switch r := o.state(id); {
+	case r.Outcome != intake.NotFound:
 		reply(r)
-		return
+	case o.commitTooSlow(now):
+		o.refuseUnavailable(now, reply)
+	default:
+		o.replyNotFound(reply)
 	}
-	o.replyNotFound(reply)
 }
 
 // replyNotFound replies that a job is unknown once the next transaction has shown that this
@@ -180,6 +184,10 @@
 		o.pendingEffects = append(o.pendingEffects, acceptance(reply))
 		return
 	}
+	if o.commitTooSlow(now) {
+		o.refuseUnavailable(now, reply)
+		return
+	}
 	if !o.records.isPreCancelled(c.ID) {
 		if o.records.preCancelledCount >= MaxPreCancelled {
 			o.refuseOverloaded(reply, "too many unknown jobs were cancelled")
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -130,6 +130,9 @@
 	o.handleCall(now, waited, "h", c)
 }
 
+// WaitingJobs returns the number of jobs of a queue that wait.
+func (o *Owner) WaitingJobs(queue string) int { return o.cell.WaitingJobCount(queue) }
+
 // AnnounceWorker applies the announcement of a worker.
 func (o *Owner) AnnounceWorker(now time.Duration, w workload.Worker) {
 	o.cell.HandleAnnouncement(now, w)
--- a/scheduler/stall_test.go
+++ b/scheduler/stall_test.go
@@ -47,3 +47,24 @@
 		}
 	}
 }
+
+// While the store records nothing an owner can't confirm that a job is unknown. Its callers
+// must be told so at once, with a time to come back, and not wait until their deadline.
+func TestStalledStoreRefusesCallsForUnknownJobs(t *testing.T) {
+	c := qt.New(t)
+	d := &fakeMembers{}
+	o := newOwner(d)
+	start := time.Minute
+	o.SetCommitInFlight(start, 15*time.Millisecond)
+	now := start + 1900*time.Millisecond
+	for n, verb := range []intake.Verb{intake.Cancel, intake.State} {
+		o.ExecuteCall(now, 0, intake.Call{Verb: verb, Queue: "q", ID: "a"})
+		c.Assert(d.replies, qt.HasLen, n+1)
+		c.Assert(d.replies[n].Outcome, qt.Equals, intake.Unavailable)
+		c.Assert(d.replies[n].RetryAfter > 0, qt.IsTrue)
+	}
+	// The refused cancellation has had no effect.
+	o.SetCommitInFlight(0, 15*time.Millisecond)
+	o.ExecuteCall(now, 0, submission("a"))
+	c.Assert(o.WaitingJobs("q"), qt.Equals, 1)
+}
