scheduler: orders to a distant worker are carried out in time, stops first

Cause: two orders at a time were sent to a worker, each for a whole round trip, stops behind starts in one queue: 49 orders a second between regions. Starts expire after 2 s in the queue, and stops of members that had never been started filled it before the next round.

Stops and other orders now have a queue each, and stops go first. Further senders, 16 at most, are added while the queued orders would take over 0.1 s by the mean time of answered orders, and end when no order waits. An order to stop is not sent if no copy of the start was, and can't be any more.

--- a/cell/action.go
+++ b/cell/action.go
@@ -20,13 +20,24 @@
 	run *run
 }
 
+// Claim reports whether a copy of the order may be sent, and must be called before each. None
+// may be sent once the run has been withdrawn. Claim may be called concurrently with the
+// methods of the cell.
+func (s Start) Claim() bool { return s.run == nil || s.run.order.claim() }
+
 // Stop is an order to stop a run, or never to start it.
 type Stop struct {
 	Worker workload.Worker
 	Task   workload.TaskID
 	Run    int
+	// run is the run that the order stops; nil if the cell has no record of it.
+	run *run
 }
 
+// IsNeeded reports whether the worker may have the run, or may get it. It may be called
+// concurrently with the methods of the cell.
+func (s Stop) IsNeeded() bool { return s.run == nil || s.run.order.mayBeCarriedOut() }
+
 // Question asks the advice service which workers may run a step.
 type Question struct {
 	Step    workload.StepID
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -66,6 +66,8 @@
 	w.grantedAt = max(w.grantedAt, bound)
 	r := &run{id: s.taskID(t), number: p.Run, size: s.Demand(), worker: w.Worker, state: runChart.Initial(), placedAt: now, progressedAt: now, restored: true, orderedShare: unknownShare}
 	c.applyEvent(r, "Recover")
+	// The earlier owner may have sent the order.
+	r.order.claim()
 	t.runs = append(t.runs, r)
 	w.add(r)
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/chart"
@@ -53,9 +53,38 @@
 	restored bool
 	// orderedShare is the last processor share that was ordered, in percent.
 	orderedShare int
-	// isRevoked reports whether the run must not be started any more. It is read while the
-	// order to start is being sent.
-	isRevoked atomic.Bool
+	// order tells the senders of orders whether the run may be started and has to be stopped.
+	order startOrder
+}
+
+// startOrder is the state of the order to start a run. Orders are sent by other goroutines
+// than the one that uses the cell. In its zero value the order may be sent.
+type startOrder struct {
+	mu sync.Mutex
+	// isSent reports whether a copy may have been sent, isRevoked whether none may be sent
+	// any more.
+	isSent, isRevoked bool
+}
+
+// claim reports whether a copy of the order may be sent now, and notes that it is.
+func (o *startOrder) claim() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isSent = o.isSent || !o.isRevoked
+	return !o.isRevoked
+}
+
+func (o *startOrder) revoke() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isRevoked = true
+}
+
+// mayBeCarriedOut reports whether a worker may start the run.
+func (o *startOrder) mayBeCarriedOut() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isSent || !o.isRevoked
 }
 
 // runKey identifies a run on a worker.
@@ -118,10 +147,6 @@
 	return r != nil && r == s.run && r.state == placed && !w.Draining
 }
 
-// IsRevoked reports whether an order to start that was to be sent no longer is. It may be
-// called concurrently with the methods of the cell.
-func (s Start) IsRevoked() bool { return s.run != nil && s.run.isRevoked.Load() }
-
 // HandleUnsentStart processes an order to start that was not sent and won't be.
 func (c *Cell) HandleUnsentStart(now time.Duration, s Start) {
 	if w := c.workers[s.Worker.ID]; w != nil && w.runs[runKey{s.Task, s.Run}] == s.run {
@@ -202,20 +227,20 @@
 		return
 	}
 	c.applyEvent(r, "Withdraw")
-	r.isRevoked.Store(true)
+	r.order.revoke()
 	c.log(LogEntry{Event: "run withdrawn", Job: r.id.Job, Task: r.id.String(), Run: r.number, Worker: r.worker.ID, Reason: reason})
 	c.sendStop(now, r)
 }
 
 func (c *Cell) sendStop(now time.Duration, r *run) {
 	r.stopSentAt = now
-	c.actions.Stops = append(c.actions.Stops, Stop{Worker: r.worker, Task: r.id, Run: r.number})
+	c.actions.Stops = append(c.actions.Stops, Stop{Worker: r.worker, Task: r.id, Run: r.number, run: r})
 }
 
 // closeRun frees the capacity of a run that can no longer be running.
 func (c *Cell) closeRun(now time.Duration, w *worker, r *run) {
 	r.state = closed
-	r.isRevoked.Store(true)
+	r.order.revoke()
 	w.remove(r)
 	c.stale = true
 	s, t := c.findTask(r.id)
--- a/scheduler/revoked_test.go
+++ b/scheduler/revoked_test.go
@@ -65,21 +65,33 @@
 	return slices.Clone(w.jobs)
 }
 
-// A worker is slow, so that orders to start queue behind others, and their jobs are cancelled
-// meanwhile. The queued orders must not be sent after the cancellation is acknowledged
-// (UNASKED).
-func TestQueuedStartOfCancelledJobIsNotSent(t *testing.T) {
-	c := qt.New(t)
+// runOwnerWithWorker runs an owner of a cell with the worker w until the test ends.
+func runOwnerWithWorker(c *qt.C, worker scheduler.Workers, replies replyChannel) *scheduler.Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	store, replies, worker := &storeWithWorker{}, make(replyChannel, 20), &slowWorker{released: make(chan struct{})}
+	store := &storeWithWorker{}
 	l, err := ledger.Acquire(ctx, store, "C", "a", "i", ledger.Lease{})
 	c.Assert(err, qt.IsNil)
 	options := scheduler.Options{StatusRetention: time.Minute, CellOptions: cell.Options{Lease: 4 * time.Second, StartLease: 2500 * time.Millisecond, StopTime: 100 * time.Millisecond}}
 	o := scheduler.New(options, l, store, worker, nil, replies, &scheduler.Counters{}, discardLog())
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		_ = o.Run(ctx, workload.Catalogue{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "S", MaxAttempts: 3}}})
 	}()
+	c.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return o
+}
+
+// A worker is slow, so that orders to start queue behind others, and their jobs are cancelled
+// meanwhile. The queued orders must not be sent after the cancellation is acknowledged
+// (UNASKED).
+func TestQueuedStartOfCancelledJobIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	replies, worker := make(replyChannel, 20), &slowWorker{released: make(chan struct{})}
+	o := runOwnerWithWorker(c, worker, replies)
 	// The first jobs occupy the senders of the worker.
 	const jobs = 4
 	for n := range jobs {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,10 +36,6 @@
 	// firstHoldRetryDelay is the same if the worker answered the previous hold: only this
 	// answer may be lost.
 	firstHoldRetryDelay = 25 * time.Millisecond
-	// maxQueuedOrders bounds the orders queued for one worker.
-	maxQueuedOrders = 1024
-	// orderSenders is the number of orders that are sent to a worker concurrently.
-	orderSenders = 2
 	// maxOrderQueueTime is how long a start may be queued before it is withdrawn: half of
 	// a lease, within which the cell assumes that it may be sent.
 	maxOrderQueueTime = 2 * time.Second
@@ -49,7 +45,7 @@
 type workerSession struct {
 	owner  *Owner
 	worker atomic.Pointer[workload.Worker]
-	orders *ring.Ring[order]
+	orders *orderQueue
 	polls  *ring.Ring[struct{}]
 	cancel context.CancelFunc
 	// ends tracks the run ends that the worker may discard.
@@ -68,15 +64,6 @@
 	missingSince time.Duration
 }
 
-// order is a start, a stop or a pace order.
-type order struct {
-	start *cell.Start
-	// queuedAt is when a start was queued.
-	queuedAt time.Duration
-	stop     *cell.Stop
-	pace     *cell.Pace
-}
-
 // syncSessions starts sessions for new workers and ends those of removed workers.
 func (o *Owner) syncSessions(ctx context.Context) {
 	version := o.cell.FleetVersion()
@@ -121,9 +108,9 @@
 
 func (o *Owner) newSession(ctx context.Context, w workload.Worker) *workerSession {
 	ctx, cancel := context.WithCancel(ctx)
-	d := &workerSession{owner: o, orders: ring.New[order](maxQueuedOrders), polls: ring.New[struct{}](1), startSignal: ring.New[struct{}](1), cancel: cancel}
+	d := &workerSession{owner: o, orders: newOrderQueue(), polls: ring.New[struct{}](1), startSignal: ring.New[struct{}](1), cancel: cancel}
 	d.worker.Store(&w)
-	o.group.Add(2 + orderSenders)
+	o.group.Add(2)
 	go func() {
 		defer o.group.Done()
 		d.runHolds(ctx)
@@ -132,12 +119,7 @@
 		defer o.group.Done()
 		d.servePolls(ctx)
 	}()
-	for range orderSenders {
-		go func() {
-			defer o.group.Done()
-			d.sendOrders(ctx)
-		}()
-	}
+	d.startSenders(ctx)
 	return d
 }
 
@@ -275,35 +257,17 @@
 	}
 }
 
-// sendOrders sends the queued orders.
-func (d *workerSession) sendOrders(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case order := <-d.orders.Values():
-			switch {
-			case order.start != nil:
-				d.sendStart(ctx, *order.start, order.queuedAt)
-			case order.stop != nil:
-				d.sendStop(ctx, *order.stop)
-			default:
-				d.sendPace(ctx, *order.pace)
-			}
-		}
-	}
-}
-
-func (d *workerSession) sendStart(ctx context.Context, s cell.Start, queuedAt time.Duration) {
+// sendStart sends an order to start, unless it has become outdated in the queue.
+func (d *workerSession) sendStart(ctx context.Context, s cell.Start, queuedAt time.Duration) cell.Answer {
 	o, w := d.owner, d.worker.Load()
-	answered := func(a cell.Answer) {
+	answered := func(a cell.Answer) cell.Answer {
 		o.enqueue(ctx, func(now time.Duration) { o.cell.HandleStartAnswer(now, s.Task, s.Run, w.ID, a) })
+		return a
 	}
 	sent := clock.Now()
 	offset := d.clockOffset.Load()
-	if offset == nil || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || s.IsRevoked() {
-		answered(cell.Unsent)
-		return
+	if offset == nil || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || !s.Claim() {
+		return answered(cell.Unsent)
 	}
 	o.enqueue(ctx, func(time.Duration) { o.cell.RecordGrant(sent, w.ID) })
 	start := platform.StartOrder{
@@ -311,41 +275,44 @@
 		FencingToken: o.Fence(), LeaseUntil: (sent + *offset + o.options.CellOptions.StartLease).Milliseconds(),
 	}
 	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
-		if s.IsRevoked() {
+		if !s.Claim() {
 			return cell.Unsent
 		}
 		return o.workers.Start(ctx, start)
 	})
 	o.counters.Starts.Add(1)
 	o.counters.Order.Record(clock.Now() - sent)
-	answered(answer)
+	return answered(answer)
 }
 
-func (d *workerSession) sendStop(ctx context.Context, s cell.Stop) {
+// sendStop sends an order to stop, unless the worker has never been told to start the run.
+func (d *workerSession) sendStop(ctx context.Context, s cell.Stop) cell.Answer {
 	o, w := d.owner, d.worker.Load()
-	if !o.mayGiveOrders(clock.Now()) {
-		return
+	if !o.mayGiveOrders(clock.Now()) || !s.IsNeeded() {
+		return cell.Unsent
 	}
 	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
 		return o.workers.Stop(ctx, w.Address, w.ID, s.Task, s.Run, o.Fence())
 	})
 	o.counters.Stops.Add(1)
 	o.enqueue(ctx, func(now time.Duration) { o.cell.HandleStopAnswer(now, s.Task, s.Run, w.ID, answer) })
+	return answer
 }
 
-func (d *workerSession) sendPace(ctx context.Context, p cell.Pace) {
+func (d *workerSession) sendPace(ctx context.Context, p cell.Pace) cell.Answer {
 	o, w := d.owner, d.worker.Load()
 	if !o.mayGiveOrders(clock.Now()) {
-		return
+		return cell.Unsent
 	}
 	answer := o.workers.Pace(ctx, w.Address, w.ID, p.Task, p.Run, o.Fence(), p.Percent)
 	o.enqueue(ctx, func(time.Duration) { o.cell.HandlePaceAnswer(p, answer) })
+	return answer
 }
 
 // enqueuePace queues a pace order for its worker.
 func (o *Owner) enqueuePace(p cell.Pace) {
 	d := o.sessions[p.Worker.ID]
-	if d == nil || d.orders.TryPut(order{pace: &p}) != nil {
+	if d == nil || !d.orders.tryPut(order{pace: &p}) {
 		o.cell.HandlePaceAnswer(p, cell.Unsent)
 	}
 }
@@ -364,7 +331,7 @@
 	}
 	// Until the start is sent, the lease must not count as expired.
 	o.cell.RecordGrant(now, s.Worker.ID)
-	if err := d.orders.TryPut(order{start: &s, queuedAt: now}); err != nil {
+	if !d.orders.tryPut(order{start: &s, queuedAt: now}) {
 		o.cell.HandleUnsentStart(now, s)
 		return
 	}
@@ -376,6 +343,6 @@
 func (o *Owner) enqueueStop(s cell.Stop) {
 	if d := o.sessions[s.Worker.ID]; d != nil {
 		// The cell sends a stop again that had no effect.
-		_ = d.orders.TryPut(order{stop: &s})
+		_ = d.orders.tryPut(order{stop: &s})
 	}
 }
