ledger, scheduler: what an owner may do counts from when it sent a transaction

What was seen: an owner that was suspended as the answer to its renewal was on its way extended leases of a worker beyond the time that its successor waits, and six tasks ran twice.

Cause: the 5 s for which an owner gives orders and leases without a transaction counted from when the answer was handled. A suspension, or a slow store, lengthened them. A successor may take the cell right after the transaction, and counts from then.

They now count from when the last confirmed transaction was first sent. The same time bounds orders of upkeep. The line about cancelled jobs that are not known tells it as owned_ms.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -107,6 +107,8 @@
 	lastRenewal time.Duration
 	// lastCommit is when the store last confirmed a transaction, in nanoseconds.
 	lastCommit atomic.Int64
+	// ownedAt is when the last confirmed transaction was first sent, in nanoseconds.
+	ownedAt atomic.Int64
 	// timeout is how long the store may take to answer the next transaction before its
 	// outcome is checked.
 	timeout adaptiveTimeout
@@ -139,6 +141,11 @@
 // safe for concurrent use.
 func (l *Ledger) LastCommit() time.Duration { return time.Duration(l.lastCommit.Load()) }
 
+// OwnedAt returns a time at which this owner certainly had the cell: when the last confirmed
+// transaction was first sent. The answer may have arrived much later, and another owner may
+// have the cell since. It is safe for concurrent use.
+func (l *Ledger) OwnedAt() time.Duration { return time.Duration(l.ownedAt.Load()) }
+
 // Fence returns the fencing token of this owner, which is higher than that of any earlier
 // owner.
 func (l *Ledger) Fence() int64 { return l.fence }
@@ -193,15 +200,16 @@
 		return err
 	}
 	pause := minRetryPause
+	begun := clock.Now()
 	for {
 		version, err := l.tryCommit(ctx, t, id)
 		if err == nil {
-			l.confirm(version)
+			l.confirm(begun, version)
 			return nil
 		}
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
-			return l.resolveConflict(conflict.Rows, id)
+			return l.resolveConflict(begun, conflict.Rows, id)
 		}
 		if errors.Is(err, ErrRejected) {
 			return err
@@ -218,8 +226,8 @@
 }
 
 // resolveConflict finds out from the head row whether an earlier copy of the transaction
-// took effect.
-func (l *Ledger) resolveConflict(rows []Row, id string) error {
+// took effect. The first copy was sent at begun.
+func (l *Ledger) resolveConflict(begun time.Duration, rows []Row, id string) error {
 	version, ok, err := committedVersion(rows, id)
 	if err != nil {
 		return err
@@ -227,13 +235,15 @@
 	if !ok {
 		return ErrNotOwner
 	}
-	l.confirm(version)
+	l.confirm(begun, version)
 	return nil
 }
 
-// confirm notes that a transaction took effect with the given version of the head row.
-func (l *Ledger) confirm(version Version) {
+// confirm notes that a transaction, of which the first copy was sent at begun, took effect
+// with the given version of the head row.
+func (l *Ledger) confirm(begun time.Duration, version Version) {
 	l.version = version
+	l.ownedAt.Store(int64(begun))
 	l.lastCommit.Store(int64(clock.Now()))
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/ledger"
 )
 
@@ -199,3 +200,25 @@
 	c.Assert(commits[2] > commits[1], qt.IsTrue)
 	c.Assert(l.LastCommit() > commits[2], qt.IsTrue)
 }
+
+// The answer to a transaction is delayed, or the process is suspended while it is on its way.
+// What an owner may do counts from when it sent the transaction: another host may have taken
+// the cell right after, and counts on it that the leases of this one have ended (TWICE).
+func TestOwnershipCountsFromTheSendingOfATransaction(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	l, err := ledger.Acquire(context.Background(), store, "cell", "a", "1", ledger.Lease{})
+	c.Assert(err, qt.IsNil)
+	const delay = 50 * time.Millisecond
+	var sent []time.Duration
+	store.lose = func() (lost, carriedOut bool) {
+		sent = append(sent, clock.Now())
+		time.Sleep(delay)
+		return len(sent) == 1, true
+	}
+	begun := clock.Now()
+	c.Assert(l.Append(context.Background(), nil), qt.IsNil)
+	c.Assert(l.OwnedAt() >= begun, qt.IsTrue)
+	c.Assert(l.OwnedAt() <= sent[0], qt.IsTrue, qt.Commentf("counted %s from the sending", l.OwnedAt()-sent[0]))
+	c.Assert(l.LastCommit() >= sent[0]+delay, qt.IsTrue)
+}
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -196,7 +196,7 @@
 		o.records.preCancel(time.Now().UnixMilli(), c.ID)
 		o.counters.UnknownCancels.Add(1)
 		o.log.WithFields(logrus.Fields{
-			"job": c.ID, "host": from, "fence": o.Fence(), "commit_age_ms": (now - time.Duration(o.lastCommitEnd.Load())).Milliseconds(),
+			"job": c.ID, "host": from, "fence": o.Fence(), "owned_ms": (now - o.ledger.OwnedAt()).Milliseconds(),
 		}).Info("scheduler: cancelled job not known")
 	}
 	o.replyNotFound(reply)
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -93,7 +93,6 @@
 	o.observeCommitTime(clock.Now() - o.commitStart)
 	o.committing = false
 	o.inFlightSince.Store(0)
-	o.lastCommitEnd.Store(int64(clock.Now()))
 	for _, effect := range o.inFlightEffects {
 		effect()
 	}
@@ -141,15 +140,17 @@
 	return now - start
 }
 
-// mayGiveOrders reports whether this owner may send orders: its last commit is recent
-// enough that no other host can have owned the cell for long.
+// mayGiveOrders reports whether this owner may send orders: it had the cell so recently
+// that no other host can have owned it for long.
 func (o *Owner) mayGiveOrders(now time.Duration) bool {
-	return o.committedWithin(now, tenure.OwnerTimeout)
+	return o.ownedWithin(now, tenure.OwnerTimeout)
 }
 
-// committedWithin reports whether the last commit is more recent than bound.
-func (o *Owner) committedWithin(now, bound time.Duration) bool {
-	return now-time.Duration(o.lastCommitEnd.Load()) < bound
+// ownedWithin reports whether this owner certainly had the cell less than bound ago. A
+// process that is suspended while the answer to its transaction is on its way gets no more
+// time by that.
+func (o *Owner) ownedWithin(now, bound time.Duration) bool {
+	return now-o.ledger.OwnedAt() < bound
 }
 
 // resign records the remaining changes and releases the cell.
--- a/scheduler/distant_test.go
+++ b/scheduler/distant_test.go
@@ -86,10 +86,10 @@
 	o := runOwnerWithWorker(c, worker, replies)
 	const tasks = 300
 	o.HandleCall("h", manyTasks("a", tasks, false))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	worker.awaitRunning(c, tasks)
 	o.HandleCall("h", cancellation("a"))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	took := worker.awaitRunning(c, 0)
 	c.Assert(took < 3900*time.Millisecond, qt.IsTrue, qt.Commentf("stopped after %s", took))
 }
@@ -102,7 +102,7 @@
 	o := runOwnerWithWorker(c, worker, replies)
 	const tasks = 250
 	o.HandleCall("h", manyTasks("a", tasks, true))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	took := worker.awaitRunning(c, tasks)
 	c.Assert(took < 3*time.Second, qt.IsTrue, qt.Commentf("started after %s", took))
 }
@@ -114,13 +114,13 @@
 	worker, replies := &distantWorker{roundTrip: 41 * time.Millisecond, running: map[workload.TaskID]int{}}, make(replyChannel, 20)
 	o := runOwnerWithWorker(c, worker, replies)
 	o.HandleCall("h", manyTasks("a", 2, false))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	worker.awaitRunning(c, 2)
 	const others = 200
 	o.HandleCall("h", manyTasks("b", others, false))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	o.HandleCall("h", cancellation("a"))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	worker.awaitRunning(c, others)
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -133,6 +133,9 @@
 // WaitingJobs returns the number of jobs of a queue that wait.
 func (o *Owner) WaitingJobs(queue string) int { return o.cell.WaitingJobCount(queue) }
 
+// MayGiveOrders calls mayGiveOrders.
+func (o *Owner) MayGiveOrders(now time.Duration) bool { return o.mayGiveOrders(now) }
+
 // AnnounceWorker applies the announcement of a worker.
 func (o *Owner) AnnounceWorker(now time.Duration, w workload.Worker) {
 	o.cell.HandleAnnouncement(now, w)
--- a/scheduler/overtaken_test.go
+++ b/scheduler/overtaken_test.go
@@ -24,7 +24,7 @@
 	o, _ := runOwner(c, &heldStore{}, replies)
 	call := func(call intake.Call) intake.Reply {
 		o.HandleCall("h", call)
-		return <-replies
+		return replies.next(c)
 	}
 	state := intake.Call{Verb: intake.State, Queue: "q", ID: "a"}
 	for range 2 {
@@ -59,7 +59,7 @@
 	store, replies := &heldStore{}, make(replyChannel, 10)
 	o, _ := runOwner(c, store, replies)
 	o.HandleCall("h", cancellation("a"))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.NotFound)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.NotFound)
 	release := store.hold()
 	for range 2 {
 		o.HandleCall("h", submission("a"))
@@ -67,7 +67,7 @@
 	replies.assertNone(c, 200*time.Millisecond)
 	release()
 	for range 2 {
-		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
 }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -91,8 +91,6 @@
 	meanCommitTime time.Duration
 	// lastCommitTime is the duration of the last transaction.
 	lastCommitTime time.Duration
-	// lastCommitEnd is when the last transaction succeeded, in nanoseconds.
-	lastCommitEnd atomic.Int64
 	// inFlightSince is the start time of the transaction in flight, in nanoseconds, for
 	// other goroutines; 0 means none.
 	inFlightSince atomic.Int64
@@ -207,7 +205,6 @@
 	if err := o.recover(ctx); err != nil {
 		return errors.Annotate(err, "recovering the cell")
 	}
-	o.lastCommitEnd.Store(int64(clock.Now()))
 	for _, run := range []func(context.Context){o.watchWorkers, o.runUpkeep, o.writeWaveStatuses} {
 		o.group.Add(1)
 		go func() {
--- a/scheduler/replaced_test.go
+++ b/scheduler/replaced_test.go
@@ -80,6 +80,18 @@
 	return o, ended
 }
 
+// next returns the next reply.
+func (r replyChannel) next(c *qt.C) intake.Reply {
+	c.Helper()
+	select {
+	case reply := <-r:
+		return reply
+	case <-time.After(10 * time.Second):
+		c.Fatal("no reply")
+		return intake.Reply{}
+	}
+}
+
 func (r replyChannel) assertNone(c *qt.C, wait time.Duration) {
 	c.Helper()
 	select {
@@ -99,7 +111,7 @@
 			store, replies := &heldStore{}, make(replyChannel, 10)
 			o, ended := runOwner(c, store, replies)
 			o.HandleCall("h", intake.Call{Number: 1, Verb: intake.Waiting, Queue: "q"})
-			c.Assert((<-replies).Outcome, qt.Equals, intake.Counted)
+			c.Assert(replies.next(c).Outcome, qt.Equals, intake.Counted)
 			release := store.hold()
 			store.replaceOwner()
 			o.HandleCall("h", intake.Call{Number: 2, Verb: verb, Queue: "q", ID: "x"})
@@ -118,7 +130,7 @@
 	o, _ := runOwner(c, store, replies)
 	for n, verb := range []intake.Verb{intake.Cancel, intake.State} {
 		o.HandleCall("h", intake.Call{Number: uint64(n), Verb: verb, Queue: "q", ID: "x"})
-		c.Assert((<-replies).Outcome, qt.Equals, intake.NotFound)
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.NotFound)
 	}
 }
 
@@ -129,7 +141,7 @@
 	store, replies := &heldStore{}, make(replyChannel, 10)
 	o, ended := runOwner(c, store, replies)
 	o.HandleCall("h", intake.Call{Number: 1, Verb: intake.Waiting, Queue: "q"})
-	<-replies
+	replies.next(c)
 	store.hold()
 	o.HandleCall("h", submission("a"))
 	replies.assertNone(c, 100*time.Millisecond)
--- a/scheduler/revoked_test.go
+++ b/scheduler/revoked_test.go
@@ -96,14 +96,14 @@
 	const jobs = 4
 	for n := range jobs {
 		o.HandleCall("h", submission(fmt.Sprint(n)))
-		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
 	for end := time.Now().Add(5 * time.Second); len(worker.started()) < 2; time.Sleep(5 * time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("no order to start"))
 	}
 	for n := range jobs {
 		o.HandleCall("h", cancellation(fmt.Sprint(n)))
-		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
 	sent := len(worker.started())
 	// The orders that the worker does not answer are given up after 0.9 s.
--- a/scheduler/sessions_test.go
+++ b/scheduler/sessions_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -46,7 +47,7 @@
 func (f *fakeWorkers) newOwner() *scheduler.Owner {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return scheduler.New(scheduler.Options{}, nil, nil, f, nil, &fakeMembers{}, &scheduler.Counters{}, logrus.NewEntry(log))
+	return scheduler.New(scheduler.Options{}, &ledger.Ledger{}, nil, f, nil, &fakeMembers{}, &scheduler.Counters{}, logrus.NewEntry(log))
 }
 
 // rampPause is longer than the interval between an owner's checks for new workers.
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -145,11 +145,10 @@
 	}
 }
 
-// orderDown orders one machine down, unless the last commit is so old that another host
-// may own the cell.
+// orderDown orders one machine down, unless another host may own the cell by now.
 func (o *Owner) orderDown(ctx context.Context, order upkeep.Order) {
 	outcome := upkeep.Busy
-	if o.committedWithin(clock.Now(), maxOrderCommitAge) {
+	if o.ownedWithin(clock.Now(), maxOrderCommitAge) {
 		outcome = o.machines.Upkeep(ctx, o.options.Holder, o.Fence(), order)
 	}
 	o.log.WithFields(logrus.Fields{"wave": order.Wave, "machine": order.Machine, "answer": outcome, "fence": o.Fence()}).Info("upkeep: machine ordered down")
