scheduler: a superseded owner ends its tenure also while it recovers or resigns

What callers saw: a host that had been the owner, is cut off from the store and is told to stop, kept calls to itself until the end of its grace period: a cancellation got 504 after 2.85 s, though the host had heard of its successor.

Cause: that an owner is superseded was read by its event loop only, which is not running while the owner recovers and waits for the store while it resigns.

The context of the tenure now ends as soon as the owner is superseded.

Evidence: TestSupersededOwnerEndsItsTenureWhileItResigns and TestSupersededOwnerEndsItsTenureWhileItRecovers failed before ("the tenure goes on" after 5 s).

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -5,10 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/vanillaquay/vanillaquay/clock"
-	"github.com/vanillaquay/vanillaquay/ledger"
 )
 
 const (
@@ -37,8 +34,6 @@
 			return ctx.Err()
 		case <-o.resigning:
 			return o.resign(ctx)
-		case <-o.superseded:
-			return errors.Annotate(ledger.ErrNotOwner, "a later owner has the cell")
 		case e := <-o.events.Values():
 			o.handleEvent(e)
 		case <-tick.C:
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -201,6 +201,25 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer o.group.Wait()
 	defer cancel()
+	// Recovery, a transaction and a resignation may wait for the store for long.
+	o.group.Go(func() {
+		select {
+		case <-o.superseded:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	err := o.run(ctx, catalogue)
+	select {
+	case <-o.superseded:
+		return errors.Annotate(ledger.ErrNotOwner, "a later owner has the cell")
+	default:
+		return err
+	}
+}
+
+// run schedules until the context ends or the cell is lost or released.
+func (o *Owner) run(ctx context.Context, catalogue workload.Catalogue) error {
 	o.cell.SetCatalogue(catalogue)
 	if err := o.recover(ctx); err != nil {
 		return errors.Annotate(err, "recovering the cell")
