cell: orders to start that are queued for a worker that drains are dropped

Cause: that a worker drains was looked at when an order was queued for it, not when it was sent, up to 2 s and three copies later; with drain_ms of 2.5 s such a start breaks DRAIN.

Its placed runs are now revoked when the owner reads that it drains. Orders that were not sent are answered as unsent, and the tasks are placed elsewhere.

Tests of the state of an order alone: TestStartOfACancelledJobCannotBeClaimed, TestStartOfAClosedRunCannotBeClaimed.

--- a/cell/rule_unasked_test.go
+++ b/cell/rule_unasked_test.go
@@ -44,6 +44,39 @@
 	c.Assert(w.ShouldSend(actions.Starts[0]), qt.IsFalse)
 }
 
+// UNASKED: a job is cancelled while its order to start waits for a worker, or between two
+// copies of it. An order that was never sent needs no order to stop.
+func TestStartOfACancelledJobCannotBeClaimed(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		c := qt.New(t)
+		w := newWorld(1)
+		w.Submit(w.now, job(id(1), "Plain", 1, nil))
+		w.Tick(w.now, w.now.Milliseconds())
+		actions, _, _ := w.TakeOutput()
+		start := actions.Starts[0]
+		if sent {
+			c.Assert(start.Claim(), qt.IsTrue)
+		}
+		w.Cancel(w.now, id(1))
+		c.Assert(start.Claim(), qt.IsFalse)
+		actions, _, _ = w.TakeOutput()
+		c.Assert(actions.Stops, qt.HasLen, 1)
+		c.Assert(actions.Stops[0].IsNeeded(), qt.Equals, sent)
+	}
+}
+
+// TWICE: a run that was closed, as the lease of its worker had expired, must not be started by
+// an order that still waits: the task may run elsewhere.
+func TestStartOfAClosedRunCannotBeClaimed(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.Submit(w.now, job(id(1), "Plain", 1, nil))
+	w.Tick(w.now, w.now.Milliseconds())
+	actions, _, _ := w.TakeOutput()
+	w.HandleUnsentStart(w.now, actions.Starts[0])
+	c.Assert(actions.Starts[0].Claim(), qt.IsFalse)
+}
+
 // UNASKED: the next owner restores a cancelled job whose runs have not ended.
 func TestNextOwnerStopsACancelledJob(t *testing.T) {
 	c := qt.New(t)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -72,6 +72,16 @@
 	w.used = w.used.Plus(r.size)
 }
 
+// revokeUnsentStarts prevents the sending of orders to start that are still queued. They are
+// answered as unsent, and their tasks are placed elsewhere.
+func (w *worker) revokeUnsentStarts() {
+	for _, r := range w.runs {
+		if r.state == placed {
+			r.order.revoke()
+		}
+	}
+}
+
 func (w *worker) remove(r *run) {
 	key := runKey{r.id, r.number}
 	if w.runs[key] == nil {
@@ -129,6 +139,7 @@
 	}
 	if announced.Draining && !w.Draining {
 		c.log(LogEntry{Event: "worker drains", Worker: w.ID})
+		w.revokeUnsentStarts()
 	}
 	if w.Life != announced.Life && w.Life != 0 {
 		// The failures and the speed are those of the previous incarnation.
--- a/scheduler/revoked_test.go
+++ b/scheduler/revoked_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
@@ -20,14 +23,21 @@
 )
 
 // storeWithWorker is a store in which one worker is announced.
-type storeWithWorker struct{ heldStore }
+type storeWithWorker struct {
+	heldStore
+	drains atomic.Bool
+}
 
 func (s *storeWithWorker) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
 	if table != platform.WorkerTable {
 		return ledger.Page{}, nil
 	}
-	return ledger.Page{Rows: []ledger.Row{{Table: table, Key: "w", Value: []byte(
-		`{"service":"S","addr":"127.0.0.1:1","state":"ready","slots":64,"capacity":{"cpu":64000,"mem_mb":64000},"born":1}`)}}}, nil
+	state := "ready"
+	if s.drains.Load() {
+		state = "draining"
+	}
+	return ledger.Page{Rows: []ledger.Row{{Table: table, Key: "w", Value: fmt.Appendf(nil,
+		`{"service":"S","addr":"127.0.0.1:1","state":%q,"slots":64,"capacity":{"cpu":64000,"mem_mb":64000},"born":1}`, state)}}}, nil
 }
 
 // slowWorker answers no order to start until it is released.
@@ -67,12 +77,16 @@
 
 // runOwnerWithWorker runs an owner of a cell with the worker w until the test ends.
 func runOwnerWithWorker(c *qt.C, worker scheduler.Workers, replies replyChannel) *scheduler.Owner {
+	return runOwnerOf(c, &storeWithWorker{}, worker, replies, discardLog())
+}
+
+// runOwnerOf is like runOwnerWithWorker.
+func runOwnerOf(c *qt.C, store *storeWithWorker, worker scheduler.Workers, replies replyChannel, log *logrus.Entry) *scheduler.Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	store := &storeWithWorker{}
 	l, err := ledger.Acquire(ctx, store, "C", "a", "i", ledger.Lease{})
 	c.Assert(err, qt.IsNil)
 	options := scheduler.Options{StatusRetention: time.Minute, CellOptions: cell.Options{Lease: 4 * time.Second, StartLease: 2500 * time.Millisecond, StopTime: 100 * time.Millisecond}}
-	o := scheduler.New(options, l, store, worker, nil, replies, &scheduler.Counters{}, discardLog())
+	o := scheduler.New(options, l, store, worker, nil, replies, &scheduler.Counters{}, log)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -110,3 +124,32 @@
 	time.Sleep(1200 * time.Millisecond)
 	c.Assert(worker.started()[sent:], qt.HasLen, 0)
 }
+
+// A worker is slow, so that orders to start queue behind others, and begins to drain
+// meanwhile. Queued orders must not be sent once the owner has read that (DRAIN).
+func TestQueuedStartOnDrainingWorkerIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	log, lines := logtest.NewNullLogger()
+	store, replies, worker := &storeWithWorker{}, make(replyChannel, 20), &slowWorker{released: make(chan struct{})}
+	o := runOwnerOf(c, store, worker, replies, logrus.NewEntry(log))
+	const jobs = 6
+	for n := range jobs {
+		o.HandleCall("h", submission(fmt.Sprint(n)))
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
+	}
+	await := func(what string, condition func() bool) {
+		for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
+			c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf(what))
+		}
+	}
+	await("no order to start", func() bool { return len(worker.started()) >= 2 })
+	store.drains.Store(true)
+	await("the owner does not read that the worker drains", func() bool {
+		return slices.ContainsFunc(lines.AllEntries(), func(e *logrus.Entry) bool { return e.Message == "cell: worker drains" })
+	})
+	sent := worker.started()
+	time.Sleep(2500 * time.Millisecond)
+	for _, job := range worker.started() {
+		c.Check(slices.Contains(sent, job), qt.IsTrue, qt.Commentf("job %s was first ordered after the worker drained", job))
+	}
+}
