scheduler: the state of a late submission is shown once it is recorded

Cause: the submission of a job that had been cancelled before made the job final in memory, and a question for it was answered with Cancelled at once; an owner that was replaced said so of a job that its successor may run.

It now counts as pending like other final states until its transaction ends.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -81,6 +81,7 @@
 	wall := time.Now().UnixMilli()
 	if o.records.isPreCancelled(job.ID) {
 		o.records.submitPreCancelled(wall, job.ID)
+		o.markPendingFinal(job.ID)
 	} else {
 		job.Accepted = wall
 		o.cell.Submit(now, job)
@@ -89,6 +90,13 @@
 	o.newJobReplies[job.ID] = nil
 }
 
+// markPendingFinal notes that the final state of a job is to be recorded by the next
+// transaction.
+func (o *Owner) markPendingFinal(id string) {
+	o.pendingFinal[id] = true
+	o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, id) })
+}
+
 // acceptance returns an effect that replies to a call with Accepted.
 func acceptance(reply func(intake.Reply)) func() {
 	return func() { reply(intake.Reply{Outcome: intake.Accepted}) }
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -123,8 +123,7 @@
 		o.records.add(time.Now().UnixMilli(), c)
 		if c.Progress.State.Final() && !earlier {
 			o.dispatcher.RemoveJob(c.Job.ID)
-			o.pendingFinal[c.Job.ID] = true
-			o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, c.Job.ID) })
+			o.markPendingFinal(c.Job.ID)
 		}
 	}
 	for _, s := range actions.Starts {
--- a/scheduler/overtaken_test.go
+++ b/scheduler/overtaken_test.go
@@ -86,3 +86,23 @@
 	c.Assert(d.replies[0].Outcome, qt.Equals, intake.Overloaded)
 	c.Assert(d.replies[0].RetryAfter >= time.Second, qt.IsTrue)
 }
+
+// A final state is shown only once it is recorded. Until the late submission of a cancelled
+// job is, the owner may have been replaced, and the job may run under its successor.
+func TestStateOfLateSubmissionIsShownOnceRecorded(t *testing.T) {
+	c := qt.New(t)
+	store, replies := &heldStore{}, make(replyChannel, 10)
+	o, _ := runOwner(c, store, replies)
+	o.HandleCall("h", intake.Call{Number: 1, Verb: intake.Waiting, Queue: "q"})
+	replies.next(c)
+	store.hold()
+	store.replaceOwner()
+	o.HandleCall("h", cancellation("a"))
+	o.HandleCall("h", submission("a"))
+	o.HandleCall("h", intake.Call{Number: 2, Verb: intake.State, Queue: "q", ID: "a"})
+	select {
+	case r := <-replies:
+		c.Assert(r.State, qt.Not(qt.Equals), workload.Cancelled)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
