--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -5,10 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/vanillaquay/vanillaquay/clock"
-	"github.com/vanillaquay/vanillaquay/ledger"
 )
 
 const (
@@ -37,8 +34,6 @@
 			return ctx.Err()
 		case <-o.resigning:
 			return o.resign(ctx)
-		case <-o.superseded:
-			return errors.Annotate(ledger.ErrNotOwner, "a later owner has the cell")
 		case e := <-o.events.Values():
 			o.handleEvent(e)
 		case <-tick.C:
@@ -128,8 +123,7 @@
 		o.records.add(time.Now().UnixMilli(), c)
 		if c.Progress.State.Final() && !earlier {
 			o.dispatcher.RemoveJob(c.Job.ID)
-			o.pendingFinal[c.Job.ID] = true
-			o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, c.Job.ID) })
+			o.markPendingFinal(c.Job.ID)
 		}
 	}
 	for _, s := range actions.Starts {
--- a/scheduler/overtaken_test.go
+++ b/scheduler/overtaken_test.go
@@ -24,7 +24,7 @@
 	o, _ := runOwner(c, &heldStore{}, replies)
 	call := func(call intake.Call) intake.Reply {
 		o.HandleCall("h", call)
-		return <-replies
+		return replies.next(c)
 	}
 	state := intake.Call{Verb: intake.State, Queue: "q", ID: "a"}
 	for range 2 {
@@ -59,7 +59,7 @@
 	store, replies := &heldStore{}, make(replyChannel, 10)
 	o, _ := runOwner(c, store, replies)
 	o.HandleCall("h", cancellation("a"))
-	c.Assert((<-replies).Outcome, qt.Equals, intake.NotFound)
+	c.Assert(replies.next(c).Outcome, qt.Equals, intake.NotFound)
 	release := store.hold()
 	for range 2 {
 		o.HandleCall("h", submission("a"))
@@ -67,7 +67,7 @@
 	replies.assertNone(c, 200*time.Millisecond)
 	release()
 	for range 2 {
-		c.Assert((<-replies).Outcome, qt.Equals, intake.Accepted)
+		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
 }
 
@@ -86,3 +86,23 @@
 	c.Assert(d.replies[0].Outcome, qt.Equals, intake.Overloaded)
 	c.Assert(d.replies[0].RetryAfter >= time.Second, qt.IsTrue)
 }
+
+// A final state is shown only once it is recorded. Until the late submission of a cancelled
+// job is, the owner may have been replaced, and the job may run under its successor.
+func TestStateOfLateSubmissionIsShownOnceRecorded(t *testing.T) {
+	c := qt.New(t)
+	store, replies := &heldStore{}, make(replyChannel, 10)
+	o, _ := runOwner(c, store, replies)
+	o.HandleCall("h", intake.Call{Number: 1, Verb: intake.Waiting, Queue: "q"})
+	replies.next(c)
+	store.hold()
+	store.replaceOwner()
+	o.HandleCall("h", cancellation("a"))
+	o.HandleCall("h", submission("a"))
+	o.HandleCall("h", intake.Call{Number: 2, Verb: intake.State, Queue: "q", ID: "a"})
+	select {
+	case r := <-replies:
+		c.Assert(r.State, qt.Not(qt.Equals), workload.Cancelled)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -91,8 +91,6 @@
 	meanCommitTime time.Duration
 	// lastCommitTime is the duration of the last transaction.
 	lastCommitTime time.Duration
-	// lastCommitEnd is when the last transaction succeeded, in nanoseconds.
-	lastCommitEnd atomic.Int64
 	// inFlightSince is the start time of the transaction in flight, in nanoseconds, for
 	// other goroutines; 0 means none.
 	inFlightSince atomic.Int64
@@ -203,11 +201,29 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer o.group.Wait()
 	defer cancel()
+	// Recovery, a transaction and a resignation may wait for the store for long.
+	o.group.Go(func() {
+		select {
+		case <-o.superseded:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	err := o.run(ctx, catalogue)
+	select {
+	case <-o.superseded:
+		return errors.Annotate(ledger.ErrNotOwner, "a later owner has the cell")
+	default:
+		return err
+	}
+}
+
+// run schedules until the context ends or the cell is lost or released.
+func (o *Owner) run(ctx context.Context, catalogue workload.Catalogue) error {
 	o.cell.SetCatalogue(catalogue)
 	if err := o.recover(ctx); err != nil {
 		return errors.Annotate(err, "recovering the cell")
 	}
-	o.lastCommitEnd.Store(int64(clock.Now()))
 	for _, run := range []func(context.Context){o.watchWorkers, o.runUpkeep, o.writeWaveStatuses} {
 		o.group.Add(1)
 		go func() {
