scheduler: calls for unknown jobs are refused as soon as the store stalls, and their entries are bounded

Found by the review, two faults of the change that confirms unknown jobs.

A question for an unknown job that was asked just before the store stalled, and each copy of it, waited until the store was back, with no bound, while its caller got 504. Such questions are now refused with 503 together with new jobs once the transaction in flight takes too long; it is true of all copies. A cancellation is refused before anything is noted of it and waits afterwards.

The count of cancelled unknown jobs was 0 after a takeover until the first prune, so that it bounded nothing. It is now made at the takeover, and after each prune.

Evidence: TestStalledStoreRefusesWaitingQuestions; TestPruneCountsCancelledUnknownJobs, written by the review, which fails without the count or the reset.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -128,12 +129,14 @@
 	o.newJobReplies = map[string][]func(intake.Reply){}
 }
 
-// abandonNewJobs refuses the new jobs whose record has not been sent to the store if the
-// transaction in flight takes too long. Callers that are told can retry.
+// abandonNewJobs refuses the new jobs whose record has not been sent to the store, and calls
+// for unknown jobs, if the transaction in flight takes too long. Callers that are told can
+// retry.
 func (o *Owner) abandonNewJobs(now time.Duration) {
 	if !o.commitTooSlow(now) {
 		return
 	}
+	o.refuseUnconfirmed(now)
 	for id, replies := range o.newJobReplies {
 		if !o.cell.Abandon(now, id) {
 			// It was cancelled: its end is to be recorded.
@@ -149,7 +152,10 @@
 	}
 }
 
-// replyState replies with the state of a job.
+// replyState replies with the state of a job. That a job is unknown is told once the next
+// transaction has shown that this owner still had the cell when it was asked: a successor may
+// have accepted the job, and an owner that has been paused or cut off from the store may not
+// know of its successor.
 func (o *Owner) replyState(now time.Duration, id string, reply func(intake.Reply)) {
 	switch r := o.state(id); {
 	case r.Outcome != intake.NotFound:
@@ -157,15 +163,23 @@
 	case o.commitTooSlow(now):
 		o.refuseUnavailable(now, reply)
 	default:
-		o.replyNotFound(reply)
+		o.unconfirmed = append(o.unconfirmed, reply)
 	}
 }
 
-// replyNotFound replies that a job is unknown once the next transaction has shown that this
-// owner still had the cell when it was asked: a successor may have accepted the job. An owner
-// that has been paused or cut off from the store learns of a successor only by a transaction.
-func (o *Owner) replyNotFound(reply func(intake.Reply)) {
-	o.pendingEffects = append(o.pendingEffects, func() { reply(intake.Reply{Outcome: intake.NotFound}) })
+// confirmUnknown tells callers that the jobs for which they asked are unknown.
+func confirmUnknown(replies []func(intake.Reply)) {
+	for _, reply := range replies {
+		reply(intake.Reply{Outcome: intake.NotFound})
+	}
+}
+
+// refuseUnconfirmed refuses the calls that wait for the confirmation that a job is unknown.
+func (o *Owner) refuseUnconfirmed(now time.Duration) {
+	for _, reply := range slices.Concat(o.unconfirmedInFlight, o.unconfirmed) {
+		o.refuseUnavailable(now, reply)
+	}
+	o.unconfirmedInFlight, o.unconfirmed = nil, nil
 }
 
 // state returns the recorded state of a job. A job whose final state is still to be
@@ -192,12 +206,12 @@
 		o.pendingEffects = append(o.pendingEffects, acceptance(reply))
 		return
 	}
-	if o.commitTooSlow(now) {
-		o.refuseUnavailable(now, reply)
-		return
-	}
 	if !o.records.isPreCancelled(c.ID) {
-		if o.records.preCancelledCount >= MaxPreCancelled {
+		switch {
+		case o.commitTooSlow(now):
+			o.refuseUnavailable(now, reply)
+			return
+		case o.records.preCancelledCount >= MaxPreCancelled:
 			o.refuseOverloaded(reply, "too many unknown jobs were cancelled")
 			return
 		}
@@ -207,5 +221,5 @@
 			"job": c.ID, "host": from, "fence": o.Fence(), "owned_ms": (now - o.ledger.OwnedAt()).Milliseconds(),
 		}).Info("scheduler: cancelled job not known")
 	}
-	o.replyNotFound(reply)
+	o.pendingEffects = append(o.pendingEffects, func() { reply(intake.Reply{Outcome: intake.NotFound}) })
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -45,7 +45,7 @@
 		return 0, false
 	}
 	now := clock.Now()
-	if o.records.isClean() && len(o.pendingEffects) == 0 && len(o.newJobReplies) == 0 && now-o.commitStart < tenure.RenewalInterval {
+	if o.records.isClean() && len(o.pendingEffects) == 0 && len(o.newJobReplies) == 0 && len(o.unconfirmed) == 0 && now-o.commitStart < tenure.RenewalInterval {
 		return 0, false
 	}
 	if wait := o.commitStart + minCommitInterval - now; wait > 0 {
@@ -63,6 +63,7 @@
 		return
 	}
 	o.inFlightEffects, o.pendingEffects = o.pendingEffects, nil
+	o.unconfirmedInFlight, o.unconfirmed = o.unconfirmed, nil
 	o.committing, o.commitStart = true, now
 	o.inFlightSince.Store(int64(now))
 	o.group.Add(1)
@@ -96,7 +97,8 @@
 	for _, effect := range o.inFlightEffects {
 		effect()
 	}
-	o.inFlightEffects, o.recordingJobs = nil, nil
+	confirmUnknown(o.unconfirmedInFlight)
+	o.inFlightEffects, o.unconfirmedInFlight, o.recordingJobs = nil, nil, nil
 }
 
 // observeCommitTime updates the statistics with the duration of a transaction.
@@ -175,6 +177,7 @@
 	for _, effect := range effects {
 		effect()
 	}
+	confirmUnknown(o.unconfirmed)
 	return nil
 }
 
@@ -185,11 +188,14 @@
 	}
 	o.lastPrune = now
 	oldest := time.Now().Add(-o.options.StatusRetention - time.Minute).UnixMilli()
+	oldestPreCancelled := time.Now().Add(-min(o.options.StatusRetention, preCancelRetention)).UnixMilli()
 	var old []string
-	o.records.preCancelledCount = 0
 	o.records.finished.forEach(func(id string, f finished) {
 		if f.State == preCancelled {
-			o.records.preCancelledCount++
+			if f.At < oldestPreCancelled {
+				old = append(old, id)
+			}
+			return
 		}
 		if f.At < oldest && !o.pendingFinal[id] && !o.records.jobs.hasRow(id) {
 			old = append(old, id)
@@ -198,4 +204,5 @@
 	for _, id := range old {
 		o.records.finished.remove(id)
 	}
+	o.records.countPreCancelled()
 }
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -136,6 +136,9 @@
 // MayGiveOrders calls mayGiveOrders.
 func (o *Owner) MayGiveOrders(now time.Duration) bool { return o.mayGiveOrders(now) }
 
+// Prune calls prune.
+func (o *Owner) Prune(now time.Duration) { o.prune(now) }
+
 // AnnounceWorker applies the announcement of a worker.
 func (o *Owner) AnnounceWorker(now time.Duration, w workload.Worker) {
 	o.cell.HandleAnnouncement(now, w)
--- a/scheduler/overtaken_test.go
+++ b/scheduler/overtaken_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/intake"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -106,3 +107,22 @@
 	case <-time.After(200 * time.Millisecond):
 	}
 }
+
+// The bound of cancelled unknown jobs counts those that are kept, and no others: they must
+// neither be forgotten by a prune nor count for ever.
+func TestPruneCountsCancelledUnknownJobs(t *testing.T) {
+	for _, test := range []struct {
+		retention time.Duration
+		replies   int
+	}{{time.Hour, 1}, {-time.Hour, 0}} {
+		c := qt.New(t)
+		d := &fakeMembers{}
+		o := scheduler.New(scheduler.Options{StatusRetention: test.retention}, &ledger.Ledger{}, nil, nil, nil, d, &scheduler.Counters{}, discardLog())
+		for n := range scheduler.MaxPreCancelled {
+			o.ExecuteCall(time.Minute, 0, cancellation(fmt.Sprint(n)))
+		}
+		o.Prune(2 * time.Minute)
+		o.ExecuteCall(3*time.Minute, 0, cancellation("x"))
+		c.Check(d.replies, qt.HasLen, test.replies, qt.Commentf("retention %s", test.retention))
+	}
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -78,6 +78,10 @@
 	recordingJobs map[string]bool
 	// pendingFinal holds the jobs whose final state has not been recorded yet.
 	pendingFinal map[string]bool
+	// unconfirmed holds the callers that asked for unknown jobs since the transaction in
+	// flight began, and unconfirmedInFlight those from before. They are told so once the next
+	// transaction, or the one in flight, succeeds.
+	unconfirmed, unconfirmedInFlight []func(intake.Reply)
 	// pendingEffects holds what to do once the transaction after the one in flight
 	// succeeds.
 	pendingEffects []func()
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/upkeep"
@@ -23,9 +25,12 @@
 	// submission arrived. Callers are told that there is no such job until one arrives, and
 	// then that it is cancelled.
 	preCancelled workload.State = "PreCancelled"
-	// MaxPreCancelled bounds the jobs in that state, each of which takes some 50 bytes of
-	// the store and of the time of a takeover.
+	// MaxPreCancelled bounds the jobs in that state. Each takes some 50 bytes in the store,
+	// which a takeover reads.
 	MaxPreCancelled = 10000
+	// preCancelRetention is how long jobs stay in that state. Copies of a submission arrive
+	// some seconds after the first at most.
+	preCancelRetention = time.Minute
 )
 
 // records mirrors the rows of the cell's jobs in the store, including changes that are
@@ -37,7 +42,8 @@
 	progress pagedTable[cell.Progress]
 	finished pagedTable[finished]
 	jobs     *jobPages
-	// preCancelledCount bounds the number of jobs in the state preCancelled from above.
+	// preCancelledCount is the number of jobs in the state preCancelled, and may include some
+	// that have left it since the last countPreCancelled.
 	preCancelledCount int
 	// waves holds the progress of waves that has changed.
 	waves []upkeep.Progress
@@ -82,6 +88,15 @@
 	r.finished.set(id, finished{State: preCancelled, At: wall})
 }
 
+func (r *records) countPreCancelled() {
+	r.preCancelledCount = 0
+	r.finished.forEach(func(_ string, f finished) {
+		if f.State == preCancelled {
+			r.preCancelledCount++
+		}
+	})
+}
+
 // submitPreCancelled notes that a job was submitted after its cancellation.
 func (r *records) submitPreCancelled(wall int64, id string) {
 	r.finished.set(id, finished{State: workload.Cancelled, At: wall})
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -43,6 +43,7 @@
 	if err := reads.Wait(); err != nil {
 		return errors.Trace(err)
 	}
+	o.records.countPreCancelled()
 	o.applyWorkerList(start, workers)
 	now := clock.Now()
 	o.cell.Tick(now, time.Now().UnixMilli())
--- a/scheduler/stall_test.go
+++ b/scheduler/stall_test.go
@@ -68,3 +68,23 @@
 	o.ExecuteCall(now, 0, submission("a"))
 	c.Assert(o.WaitingJobs("q"), qt.Equals, 1)
 }
+
+// A question for an unknown job is asked just before the store stalls, and its copy after.
+// Both must be refused: a caller whose call has an open copy learns nothing.
+func TestStalledStoreRefusesWaitingQuestions(t *testing.T) {
+	c := qt.New(t)
+	d := &fakeMembers{}
+	o := newOwner(d)
+	start := time.Minute
+	question := intake.Call{Verb: intake.State, Queue: "q", ID: "a"}
+	o.ExecuteCall(start, 0, question)
+	c.Assert(d.replies, qt.HasLen, 0)
+	o.SetCommitInFlight(start, 15*time.Millisecond)
+	now := start + 1900*time.Millisecond
+	o.ExecuteCall(now, 0, question)
+	o.AbandonNewJobs(now)
+	c.Assert(d.replies, qt.HasLen, 2)
+	for _, r := range d.replies {
+		c.Assert(r.Outcome, qt.Equals, intake.Unavailable)
+	}
+}
