--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -100,8 +100,10 @@
 func deployBehindProxies(t *testing.T, hosts, workers int, length time.Duration) (*deployment, []*proxytest.Proxy) {
 	var proxies []*proxytest.Proxy
 	d := deployWith(t, make([]float64, hosts), workers, length, func(store string) string {
-		proxies = append(proxies, proxytest.New(t, store))
-		return proxies[len(proxies)-1].Address()
+		p := proxytest.New(t, store)
+		t.Cleanup(p.Close)
+		proxies = append(proxies, p)
+		return p.Address()
 	})
 	return d, proxies
 }
--- a/front/replaced_test.go
+++ b/front/replaced_test.go
@@ -19,6 +19,7 @@
 func TestPausedOwnerDoesNotAcknowledgeCancellation(t *testing.T) {
 	d := deploy(t, 3, 2, 30*time.Second)
 	d.submit(d.hosts[0], "plain", 1, 1)
+	acknowledgements := 0
 	for round := range 4 {
 		paused := d.owner()
 		qt.Assert(t, paused, qt.IsNotNil)
@@ -37,6 +38,7 @@
 		if s := <-status; s != http.StatusOK && s != http.StatusGone {
 			continue
 		}
+		acknowledgements++
 		acknowledged := time.Now()
 		d.await("the job is cancelled", func() bool {
 			_, body := d.call(other, http.MethodGet, path("plain", job), "")
@@ -45,6 +47,7 @@
 		_, body := d.call(other, http.MethodGet, path("plain", job), "")
 		qt.Assert(t, body, qt.Equals, "{\"state\":\"cancelled\"}\n", qt.Commentf("round %d", round))
 	}
+	qt.Assert(t, acknowledgements > 0, qt.IsTrue)
 }
 
 // The owner is cut off from the store alone and another host takes the cell. As soon as the
