platform, ledger: a host lists a table anew if its feed cannot be read

What callers would have seen: when the changes of a table since the last feed call exceed 4 MB, which takes 64 changes of a row of 64 KB, the host stopped following the table: workers that joined later were never used, and those that left were kept. A host reads the feed of workers each 0.5 s, but not while the store is away or the host is paused, and it is not known whether the store sends each change or the last one of each row.

Cause: the response was cut at 4 MB, so that it could not be decoded, and the call was repeated from the same version for ever. A list is read in pages of 1 MB and has no such problem.

As the list may not help, a watch that finds its history dropped again right after a list pauses for 0.3 s; before, it called the store without a pause.

--- a/ledger/store.go
+++ b/ledger/store.go
@@ -42,7 +42,7 @@
 	// ErrUnavailable means that the store did not carry out the request.
 	ErrUnavailable = errors.ConstError("store unavailable: request not carried out")
 	// ErrHistoryDropped means that a feed cannot continue from its version, because the
-	// store has dropped the changes since.
+	// store has dropped the changes since, or they can't be read.
 	ErrHistoryDropped = errors.ConstError("store has dropped the history of changes")
 	// ErrRejected means that the store will never accept the transaction.
 	ErrRejected = errors.ConstError("store rejected the transaction")
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -55,6 +55,7 @@
 func (w Watch) Run(ctx context.Context) {
 	p := watchState{needsList: true}
 	for ctx.Err() == nil {
+		relisting := p.needsRelist
 		var err error
 		p, err = w.step(ctx, p)
 		pause := w.MinInterval
@@ -63,6 +64,9 @@
 			if w.OnSuccess != nil {
 				w.OnSuccess()
 			}
+		case errors.Is(err, ErrHistoryDropped) && relisting:
+			// The list did not help, and may not help again.
+			pause = watchRetryPause
 		case errors.Is(err, ErrHistoryDropped), errors.Is(err, errReissue):
 			pause = 0
 		default:
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,3 +116,30 @@
 	cancel()
 	<-ended
 }
+
+// unreadableFeedStore has lists, and no feed call succeeds.
+type unreadableFeedStore struct {
+	fakeStore
+	lists atomic.Int64
+}
+
+// Rows implements ledger.Store.
+func (s *unreadableFeedStore) Rows(context.Context, string, string, string, int) (ledger.Page, error) {
+	return ledger.Page{Version: ledger.Version(s.lists.Add(1))}, nil
+}
+
+// Feed implements ledger.Store.
+func (s *unreadableFeedStore) Feed(context.Context, string, ledger.Version, time.Duration) (ledger.Page, error) {
+	return ledger.Page{}, ledger.ErrHistoryDropped
+}
+
+// The feed from each list can't be read. The watch must list again and again, and not without
+// a pause.
+func TestWatchWithoutFeedDoesNotSpin(t *testing.T) {
+	store := &unreadableFeedStore{}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	ledger.Watch{Store: store, Table: "t", OnChange: func(ledger.Row) {}}.Run(ctx)
+	n := store.lists.Load()
+	qt.Assert(t, n >= 3 && n <= 6, qt.IsTrue, qt.Commentf("%d lists in a second", n))
+}
