scheduler: a worker whose entry announces no worker any more counts as missing

What callers would have seen: the entry of a worker was overwritten by another writer, and the worker did not write it again, as it had ended or could not reach the store. The owner logged that, and kept the worker with all that it had announced before, for as long as the odd entry was there: its address, its capacity, and that it was not draining. A worker that began to drain meanwhile still got tasks (DRAIN).

PROTOCOL.md says that such an entry names no worker to use, and that an entry that is missing for more than about two seconds is to be treated as gone. A worker writes its entry each heartbeat, 1.5 s apart, so that an odd one in its place is gone by then if the worker lives. Such a row now counts as a missing one: the worker is removed after 2.5 s without a valid entry. Until then it may still get tasks, as one whose entry has expired. It is not taken for lost: its session goes on while it has runs, so that these keep their leases and their ends are counted, and it is back with its next valid entry.

Rows are now decoded by the watch, not by the event loop, which a large number of odd ones could have delayed.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -141,8 +141,15 @@
 // SyncSessions calls syncSessions.
 func (o *Owner) SyncSessions(ctx context.Context) { o.syncSessions(ctx) }
 
-// ApplyWorkerList calls applyWorkerList.
-func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) { o.applyWorkerList(now, rows) }
+// ApplyWorkerList applies a list of rows of the worker table.
+func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) {
+	o.applyWorkerList(now, o.decodeAnnouncements(rows))
+}
+
+// ApplyWorkerRow applies a change of a row of the worker table.
+func (o *Owner) ApplyWorkerRow(now time.Duration, r ledger.Row) {
+	o.applyAnnouncement(now, o.decodeAnnouncement(r))
+}
 
 // RemoveMissing calls removeMissing.
 func (o *Owner) RemoveMissing(now time.Duration) { o.removeMissing(now) }
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -43,7 +43,7 @@
 	if err := reads.Wait(); err != nil {
 		return errors.Trace(err)
 	}
-	o.applyWorkerList(start, workers)
+	o.applyWorkerList(start, o.decodeAnnouncements(workers))
 	now := clock.Now()
 	o.cell.Tick(now, time.Now().UnixMilli())
 	orderDeadline := now + o.options.EarlierOwnerTimeout
@@ -86,22 +86,29 @@
 	return b.load(rows)
 }
 
-// watchWorkers follows the announcements of workers in the store.
+// watchWorkers follows the announcements of workers in the store. It decodes them itself, so
+// that those of other writers don't delay the event loop.
 func (o *Owner) watchWorkers(ctx context.Context) {
 	ledger.Watch{
 		Store: o.store, Table: platform.WorkerTable, MinInterval: workerFeedInterval, FeedWait: 2 * time.Second,
-		OnList:   func(rows []ledger.Row) { o.enqueue(ctx, func(now time.Duration) { o.applyWorkerList(now, rows) }) },
-		OnChange: func(r ledger.Row) { o.enqueue(ctx, func(now time.Duration) { o.applyWorkerRow(now, r) }) },
-		OnError:  func(err error) { o.log.WithField("why", err.Error()).Warn("scheduler: list of workers not read") },
+		OnList: func(rows []ledger.Row) {
+			list := o.decodeAnnouncements(rows)
+			o.enqueue(ctx, func(now time.Duration) { o.applyWorkerList(now, list) })
+		},
+		OnChange: func(r ledger.Row) {
+			a := o.decodeAnnouncement(r)
+			o.enqueue(ctx, func(now time.Duration) { o.applyAnnouncement(now, a) })
+		},
+		OnError: func(err error) { o.log.WithField("why", err.Error()).Warn("scheduler: list of workers not read") },
 	}.Run(ctx)
 }
 
 // applyWorkerList applies a complete list of workers.
-func (o *Owner) applyWorkerList(now time.Duration, rows []ledger.Row) {
+func (o *Owner) applyWorkerList(now time.Duration, list []announcement) {
 	listed := map[string]bool{}
-	for _, r := range rows {
-		listed[r.Key] = true
-		o.applyWorkerRow(now, r)
+	for _, a := range list {
+		listed[a.id] = true
+		o.applyAnnouncement(now, a)
 	}
 	for _, id := range o.cell.WorkerIDs() {
 		if !listed[id] {
@@ -110,19 +117,16 @@
 	}
 }
 
-func (o *Owner) applyWorkerRow(now time.Duration, r ledger.Row) {
-	if r.Deleted {
-		o.markMissing(now, r.Key)
+// applyAnnouncement applies a row of the worker table. A row that announces no worker counts
+// as a missing one: what was announced before may no longer hold.
+func (o *Owner) applyAnnouncement(now time.Duration, a announcement) {
+	if !a.usable {
+		o.markMissing(now, a.id)
 		return
 	}
-	w, err := platform.DecodeWorker(r)
-	if err != nil {
-		o.log.WithFields(logrus.Fields{"worker": r.Key, "version": r.Version, "why": err.Error()}).Warn("scheduler: worker announcement ignored")
-		return
-	}
-	o.cell.HandleAnnouncement(now, w)
-	if d := o.sessions[w.ID]; d != nil {
-		d.worker.Store(&w)
+	o.cell.HandleAnnouncement(now, a.worker)
+	if d := o.sessions[a.id]; d != nil {
+		d.worker.Store(&a.worker)
 		d.missingSince = 0
 	}
 }
