scheduler: odd entries of other writers do not flood the log

What operators would have seen: each time that an entry which announces no worker was read, a line went into the log: ten a second for one that is rewritten so often, and one for each of hundreds whenever the store has dropped its history. The first seconds of a tenure are the costliest ones for that.

A row is now logged once a minute at most, with its reason and the number of lines withheld since, and all such rows 50 times.

--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -151,6 +151,12 @@
 	o.applyAnnouncement(now, o.decodeAnnouncement(r))
 }
 
+// RejectionLog exports rejectionLog.
+type RejectionLog = rejectionLog
+
+// Allow calls allow.
+func (l *rejectionLog) Allow(now time.Duration, key string) (bool, int) { return l.allow(now, key) }
+
 // RemoveMissing calls removeMissing.
 func (o *Owner) RemoveMissing(now time.Duration) { o.removeMissing(now) }
 
--- a/scheduler/odd_worker_test.go
+++ b/scheduler/odd_worker_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -8,9 +9,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/scheduler"
 )
 
 func workerRow(id string) ledger.Row {
@@ -24,6 +27,10 @@
 	`{"service":"s","addr":"10.0.0.1:1","state":"ready","capacity":{"cpu":1e30}}`,
 	`{"service":"s","addr":"10.0.0.1:1","state":"gone","capacity":{"cpu":8000}}`}
 
+func oddRow(id string, n int) ledger.Row {
+	return ledger.Row{Table: platform.WorkerTable, Key: id, Value: []byte(oddValues[n%len(oddValues)])}
+}
+
 // Another writer replaces the entry of a worker, and the worker doesn't write its own again:
 // it has ended, or can't reach the store. It must not be used for ever by what it announced
 // before, which may say that it isn't draining (DRAIN). A worker that does write its entry
@@ -73,3 +80,39 @@
 		}
 	}
 }
+
+// Another writer rewrites hundreds of odd entries ten times a second. Each of the first must be
+// logged with its reason, and the log must not be flooded.
+func TestOddEntriesDoNotFloodTheLog(t *testing.T) {
+	var output bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&output)
+	o := scheduler.New(scheduler.Options{}, nil, nil, &fakeWorkers{}, nil, &fakeMembers{}, &scheduler.Counters{}, logrus.NewEntry(log))
+	o.ApplyWorkerList(time.Second, []ledger.Row{workerRow("a")})
+	for n := range 10 {
+		for i := range 300 {
+			o.ApplyWorkerRow(2*time.Second, oddRow(fmt.Sprintf("odd-%d", i), n+i))
+		}
+	}
+	lines := strings.Count(output.String(), "announcement ignored")
+	qt.Assert(t, lines >= 20 && lines <= 60, qt.IsTrue, qt.Commentf("%d lines", lines))
+	qt.Assert(t, strings.Count(output.String(), "worker=odd-7\n"), qt.Equals, 1)
+	qt.Assert(t, output.Len() < 30_000, qt.IsTrue, qt.Commentf("%d bytes", output.Len()))
+	qt.Assert(t, o.Cell().WorkerIDs(), qt.DeepEquals, []string{"a"})
+}
+
+// A row that stays odd is logged again after a while, with the number of lines withheld.
+func TestOddEntryIsLoggedAgain(t *testing.T) {
+	var l scheduler.RejectionLog
+	now := time.Second
+	logged, withheld := 0, 0
+	for range 600 {
+		if ok, n := l.Allow(now, "a"); ok {
+			logged++
+			withheld += n
+		}
+		now += 200 * time.Millisecond
+	}
+	qt.Assert(t, logged, qt.Equals, 2)
+	qt.Assert(t, withheld, qt.Equals, 299)
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -112,6 +112,8 @@
 	// started.
 	resigned  bool
 	lastPrune time.Duration
+	// rejections is used by recover, and then by the watch of the workers.
+	rejections rejectionLog
 	// lastLearned is when a transaction last recorded what the cell has learned.
 	lastLearned time.Duration
 	// lastLoadLog is when the load was last logged.
