scheduler: a worker that has never answered is called every two seconds, not four times a second

What operators would have seen: an entry with an address at which nothing answers, which is valid otherwise, was called four times a second, with a new connection each time, for as long as it was there. Workers remove their entries or let them expire; another writer may not.

A session that has heard nothing for 3 s since it began now pauses 2 s between calls. A worker that was heard before is called as before, so that it is back soon after a disturbance. Another address or life in the entry ends the pause.

--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -126,7 +126,9 @@
 	}
 	o.cell.HandleAnnouncement(now, a.worker)
 	if d := o.sessions[a.id]; d != nil {
-		d.worker.Store(&a.worker)
+		if previous := d.worker.Swap(&a.worker); previous.Address != a.worker.Address || previous.Life != a.worker.Life {
+			d.requestHold()
+		}
 		d.missingSince = 0
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,6 +36,11 @@
 	// firstHoldRetryDelay is the same if the worker answered the previous hold: only this
 	// answer may be lost.
 	firstHoldRetryDelay = 25 * time.Millisecond
+	// unheardRetryDelay is the pause after a hold of a worker that has answered none for
+	// unheardRetryAfter since its session started: its announcement may be of another writer,
+	// and stay for ever.
+	unheardRetryDelay = 2 * time.Second
+	unheardRetryAfter = 3 * time.Second
 	// maxQueuedOrders bounds the orders queued for one worker.
 	maxQueuedOrders = 1024
 	// orderSenders is the number of orders that are sent to a worker concurrently.
@@ -59,10 +64,11 @@
 	clockOffset atomic.Pointer[time.Duration]
 	// runsSharedServices reports whether the worker runs services beside fillers.
 	runsSharedServices atomic.Bool
-	// idlePause is how long the idle worker needs no hold, in nanoseconds. A start ends
-	// the pause.
-	idlePause   atomic.Int64
-	startSignal *ring.Ring[struct{}]
+	// idlePause is how long the idle worker needs no hold, in nanoseconds.
+	idlePause atomic.Int64
+	// wake ends a pause between holds: a start is queued, or the worker has another address
+	// or life.
+	wake *ring.Ring[struct{}]
 	// missingSince is when the worker was first found missing from the list; 0 if it is
 	// listed. Only the event loop uses it.
 	missingSince time.Duration
@@ -121,7 +127,7 @@
 
 func (o *Owner) newSession(ctx context.Context, w workload.Worker) *workerSession {
 	ctx, cancel := context.WithCancel(ctx)
-	d := &workerSession{owner: o, orders: ring.New[order](maxQueuedOrders), polls: ring.New[struct{}](1), startSignal: ring.New[struct{}](1), cancel: cancel}
+	d := &workerSession{owner: o, orders: ring.New[order](maxQueuedOrders), polls: ring.New[struct{}](1), wake: ring.New[struct{}](1), cancel: cancel}
 	d.worker.Store(&w)
 	o.group.Add(2 + orderSenders)
 	go func() {
@@ -141,6 +147,12 @@
 	return d
 }
 
+// requestHold ends a pause between two holds.
+func (d *workerSession) requestHold() {
+	// If the queue is full, a hold is already due.
+	_ = d.wake.TryPut(struct{}{})
+}
+
 // requestPoll requests an immediate report in addition to the hold in flight.
 func (d *workerSession) requestPoll() {
 	// If the queue is full, a poll is already pending.
@@ -151,7 +163,7 @@
 // other.
 func (d *workerSession) runHolds(ctx context.Context) {
 	wait := time.Duration(0)
-	failed := 0
+	failed, heard, begun := 0, false, clock.Now()
 	for ctx.Err() == nil {
 		pause := minHoldInterval
 		switch {
@@ -159,14 +171,17 @@
 			if failed == 1 {
 				d.owner.lostAnswers.note(clock.Now())
 			}
-			failed, wait = 0, d.holdWait()
-			if d.idlePause.Load() > 0 && !d.waitWhileIdle(ctx) {
+			failed, wait, heard = 0, d.holdWait(), true
+			if idle := time.Duration(d.idlePause.Load()); idle > 0 && !d.waitForWake(ctx, idle) {
 				return
 			}
 		case failed == 0:
 			failed, wait, pause = 1, 0, firstHoldRetryDelay
 		default:
 			failed, wait, pause = failed+1, 0, holdRetryDelay
+			if !heard && clock.Now()-begun > unheardRetryAfter && !d.waitForWake(ctx, unheardRetryDelay) {
+				return
+			}
 		}
 		if !timer.Sleep(ctx, pause) {
 			return
@@ -174,16 +189,16 @@
 	}
 }
 
-// waitWhileIdle waits until an idle worker is due for a hold or gets a start, which needs
-// a lease. It reports false if the context has ended.
-func (d *workerSession) waitWhileIdle(ctx context.Context) bool {
-	due := time.NewTimer(time.Duration(d.idlePause.Load()))
+// waitForWake waits for a time, or until the worker needs a hold. It reports false if the
+// context has ended.
+func (d *workerSession) waitForWake(ctx context.Context, pause time.Duration) bool {
+	due := time.NewTimer(pause)
 	defer due.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-due.C:
-	case <-d.startSignal.Values():
+	case <-d.wake.Values():
 	}
 	return true
 }
@@ -368,8 +383,7 @@
 		o.cell.HandleUnsentStart(now, s)
 		return
 	}
-	// If the queue is full, a hold is already due.
-	_ = d.startSignal.TryPut(struct{}{})
+	d.requestHold()
 }
 
 // enqueueStop queues a stop for its worker.
