ledger: a list is read to its end after rows with odd keys

What callers would have seen: a list that takes several pages, because there are more than 500 rows or more than 1 MB of values, is continued at the last key with a byte appended. If another writer has a row there with a key of 200 bytes, the next call asked for a key of 201 bytes, which no row can have. A store that rejects this makes every list fail: a host that starts, or whose history is dropped, does not see the workers at all. It is not known whether the store does so. A key that continues the last one with a zero byte was left out, and a page that does not advance was read for ever, with the list growing.

The next page now begins at the last key itself, which is left out of it. A page without a later key is an error.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -302,11 +302,18 @@
 		if from == "" {
 			version = page.Version
 		}
-		rows = append(rows, page.Rows...)
+		added := page.Rows
+		for len(added) > 0 && from != "" && added[0].Key <= from {
+			added = added[1:]
+		}
+		rows = append(rows, added...)
 		if !page.More || len(page.Rows) == 0 {
 			return rows, version, nil
 		}
-		// Resume at the first key after the last one.
-		from = page.Rows[len(page.Rows)-1].Key + "\x01"
+		if len(added) == 0 || added[len(added)-1].Key <= from {
+			return nil, 0, errors.Errorf("reading table %s: no row after %q", table, from)
+		}
+		// The last key is read again: one that follows it may be longer than keys may be.
+		from = added[len(added)-1].Key
 	}
 }
