cell: a question for advice names no worker that never reports

What callers would have seen: jobs of a queue with advice that wait for an additional question, or never start (LOST).

Cause: a worker may be named before its first report, since that is there by the time of the answer.

A worker that has not reported within 3 s after its announcement is no longer named, until it reports.

It is not known how the service of the platform answers such a question.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -124,7 +124,7 @@
 // capacity on the workers closest to fitting them, since small tasks would otherwise use
 // every part of it that becomes free.
 func (c *Cell) holdCapacity(now time.Duration, s *step, queue workload.Queue) {
-	if s.bookedPlan != nil || !c.fitsEmptyWorkers(s, queue) {
+	if s.bookedPlan != nil || !c.fitsEmptyWorkers(now, s, queue) {
 		// The gang has all the capacity that it needs, or could never start and would hold
 		// capacity for nothing.
 		return
@@ -151,10 +151,10 @@
 // fitsEmptyWorkers reports whether all of a gang would fit the workers known to be eligible
 // for it, were they empty. Workers leave, and a gang may not have asked about enough of them
 // yet.
-func (c *Cell) fitsEmptyWorkers(s *step, queue workload.Queue) bool {
+func (c *Cell) fitsEmptyWorkers(now time.Duration, s *step, queue workload.Queue) bool {
 	slots := 0
 	for _, w := range c.eligibleWorkers(s, queue) {
-		if w.canBeNamed() && matchesStep(s, queue, w) {
+		if w.canBeNamed(now) && matchesStep(s, queue, w) {
 			slots += s.slotsOn(w)
 		}
 	}
--- a/cell/gang_ask.go
+++ b/cell/gang_ask.go
@@ -49,7 +49,7 @@
 func (c *Cell) widenGangSearch(now time.Duration, s *step, queue workload.Queue, eligible []*worker) {
 	planned := distinct(packTasks(s, eligible))
 	if missingSlots := gangCapacityFactor*len(s.tasks) - s.totalSlots(eligible); missingSlots > 0 {
-		c.askAboutNew(now, s, queue, planned, c.selectEnough(queue, c.unaskedWorkers(s, queue), c.eligibleRatios.of(queue.Name), missingSlots, asFloat(s.slotsOn)))
+		c.askAboutNew(now, s, queue, planned, c.selectEnough(queue, c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name), missingSlots, asFloat(s.slotsOn)))
 		return
 	}
 	unplaced := len(s.tasks)
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -122,7 +122,7 @@
 // capacity among those that it would fit when empty.
 func (c *Cell) askInitially(now time.Duration, s *step, queue workload.Queue) {
 	if !s.tickets.awaitsAnswer(now) {
-		c.ask(now, s, queue, c.selectEnough(queue, c.unaskedWorkers(s, queue), c.eligibleRatios.of(queue.Name), askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
+		c.ask(now, s, queue, c.selectEnough(queue, c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name), askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
 	}
 }
 
@@ -171,8 +171,8 @@
 // free capacity first. It scans only a part of a large cell, so that a question costs no more
 // than in a small one. Each scan begins at a different worker, so that steps that await
 // answers at the same time don't all count on the same capacity.
-func (c *Cell) unaskedWorkers(s *step, queue workload.Queue) []*worker {
-	return c.scanUnasked(s, queue, 0, (*worker).canBeNamed)
+func (c *Cell) unaskedWorkers(now time.Duration, s *step, queue workload.Queue) []*worker {
+	return c.scanUnasked(s, queue, 0, func(w *worker) bool { return w.canBeNamed(now) })
 }
 
 // unaskedFitting is unaskedWorkers for workers on which a task of the step fits now.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -16,6 +16,9 @@
 	// reportTimeout is how long after its last report a worker may still get new work: the
 	// interval of its reports, plus a margin for one that is late.
 	reportTimeout = 3500 * time.Millisecond
+	// firstReportTimeout is how long after its first announcement a worker that has not
+	// reported is expected to. The announcement may be of another writer, without a worker.
+	firstReportTimeout = 3 * time.Second
 	// idlePollsPerSecond is the number of idle workers that an owner polls in a second.
 	// The owner has two fifths of a processor, and a poll takes it a third of a millisecond.
 	idlePollsPerSecond = 300
@@ -36,6 +39,8 @@
 	used, held task.Size
 	// unlisted reports whether the worker is no longer announced.
 	unlisted bool
+	// seenAt is when the worker was first announced, or announced again after it was unlisted.
+	seenAt time.Duration
 	// lastReportAt is when the newest report received so far was requested; 0 is never.
 	lastReportAt time.Duration
 	// grantedAt is when the last lease was sent; runs on the worker end when it expires.
@@ -115,15 +120,17 @@
 	return 0
 }
 
-// canBeNamed reports whether a question may name the worker. It need not have reported yet,
-// since it will have by the time of the answer.
-func (w *worker) canBeNamed() bool { return !w.unlisted && !w.Draining }
+// canBeNamed reports whether a question may name the worker. A new worker need not have
+// reported yet, since it will have by the time of the answer.
+func (w *worker) canBeNamed(now time.Duration) bool {
+	return !w.unlisted && !w.Draining && (w.lastReportAt > 0 || now-w.seenAt < firstReportTimeout)
+}
 
 // HandleAnnouncement adds or updates a worker from its announcement.
 func (c *Cell) HandleAnnouncement(now time.Duration, announced workload.Worker) {
 	w := c.workers[announced.ID]
 	if w == nil {
-		w = &worker{Worker: announced, runs: map[runKey]*run{}}
+		w = &worker{Worker: announced, runs: map[runKey]*run{}, seenAt: now}
 		c.addWorker(w)
 		c.log(LogEntry{Event: "worker seen", Worker: w.ID, Reason: announced.Service})
 	}
@@ -137,6 +144,9 @@
 	if w.Address != announced.Address {
 		c.fleetVersion++
 	}
+	if w.unlisted {
+		w.seenAt = now
+	}
 	w.Worker, w.unlisted = announced, false
 	c.stale = true
 }
