cell: a run that is not known and stays listed is no longer stopped in a loop

What operators would have seen: a worker that lists a run which the owner does not know, and goes on to list it, was called in a loop, with a line in the log for each call. Each report made the owner order a stop and ask for another report at once, and so on, as fast as the worker answers. A run of a task that the worker is slow to stop has the same effect for as long as it is listed.

The stop is now repeated each 0.3 s, with a report asked for each time. The worker gets no new work meanwhile, as before.

A further unknown run is stopped at once.

--- a/cell/report.go
+++ b/cell/report.go
@@ -14,6 +14,10 @@
 // stopMargin is added to the time that a run takes to stop, to allow for slow clocks.
 const stopMargin = 50 * time.Millisecond
 
+// unknownStopInterval is the interval at which an unknown run is ordered to stop while it is
+// reported.
+const unknownStopInterval = 300 * time.Millisecond
+
 // stuckTimeout is how long a run may go without progress. Progress is in percent, and the
 // longest tasks take some 160 ms for one percent.
 const stuckTimeout = 3 * time.Second
@@ -191,17 +195,7 @@
 	for _, r := range report.Running {
 		listed[runKey{r.Task, r.Run}] = r
 	}
-	unknown := 0
-	for _, r := range report.Running {
-		if w.runs[runKey{r.Task, r.Run}] == nil {
-			unknown++
-			c.stopUnknownRun(w, r)
-		}
-	}
-	w.unknownRuns = unknown
-	if unknown > 0 {
-		w.unknownRunsUntil = now + c.options.StopTime + stopMargin
-	}
+	c.stopUnknownRuns(now, w, report)
 	for _, r := range w.sortedRuns() {
 		if l, ok := listed[runKey{r.id, r.number}]; ok {
 			c.confirmRun(now, r, l)
@@ -211,8 +205,30 @@
 	}
 }
 
-// stopUnknownRun stops a run that this owner has no record of, such as one whose job has
-// ended.
+// stopUnknownRuns stops the runs that this owner has no record of, such as those whose job has
+// ended. A stop is repeated after a while, not with each report: the worker may list the run
+// for ever.
+func (c *Cell) stopUnknownRuns(now time.Duration, w *worker, report Report) {
+	stopped := map[runKey]time.Duration{}
+	for _, r := range report.Running {
+		key := runKey{r.Task, r.Run}
+		if w.runs[key] != nil {
+			continue
+		}
+		orderedAt, ordered := w.unknownRuns[key]
+		if !ordered || now-orderedAt >= unknownStopInterval {
+			c.stopUnknownRun(w, r)
+			orderedAt = now
+		}
+		stopped[key] = orderedAt
+	}
+	w.unknownRuns = stopped
+	if len(stopped) > 0 {
+		w.unknownRunsUntil = now + c.options.StopTime + stopMargin
+	}
+}
+
+// stopUnknownRun stops a run that this owner has no record of.
 func (c *Cell) stopUnknownRun(w *worker, r ActiveRun) {
 	c.log(LogEntry{Event: "unknown run stopped", Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.ID})
 	c.actions.Stops = append(c.actions.Stops, Stop{Worker: w.Worker, Task: r.Task, Run: r.Run})
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -48,8 +48,9 @@
 	// reportedLife is the incarnation in the last report, lastCountedEnd the highest number
 	// of an ended run counted in it.
 	reportedLife, lastCountedEnd int64
-	// unknownRuns is the number of runs in the last report that have no record here.
-	unknownRuns int
+	// unknownRuns holds the runs in the last report that have no record here, with the time
+	// of the last order to stop each.
+	unknownRuns map[runKey]time.Duration
 	// unknownRunsUntil is when the unknown runs that were ordered to stop have ended.
 	unknownRunsUntil time.Duration
 	// pace determines the processor share of fillers. needsPacing reports whether both
@@ -95,7 +96,7 @@
 
 // usable reports whether a worker accepts new work.
 func (c *Cell) usable(now time.Duration, w *worker) bool {
-	return !w.unlisted && !w.Draining && !w.reserved && w.unknownRuns == 0 && now >= w.unknownRunsUntil && c.reportsInTime(now, w) && now >= w.pausedUntil
+	return !w.unlisted && !w.Draining && !w.reserved && len(w.unknownRuns) == 0 && now >= w.unknownRunsUntil && c.reportsInTime(now, w) && now >= w.pausedUntil
 }
 
 // reportsInTime reports whether the last report of a worker is recent enough for new work.
