platform: an ended run without the name of a task no longer silences its worker

What callers would have seen: a worker that lists the end of a run whose name is none of a task counted as silent for ever, as both lists are rejected if a row of one is malformed, and a worker keeps an end in its list until it is acknowledged. A malformed row of an active run has no such effect: the worker gets no lease, so that what runs there is killed and leaves the list.

An end without the name of a task cannot be that of a run that was ordered here. It is now acknowledged by its number and has no other effect. A row that names a task and is malformed otherwise, or has no valid number, still makes both lists invalid, since its run would count as lost and might run twice (TWICE).

--- a/cell/event.go
+++ b/cell/event.go
@@ -61,7 +61,8 @@
 // EndedRun is a run that a worker reports as ended.
 type EndedRun struct {
 	// Number increases with each ended run within one incarnation of the worker.
-	Number     int64
+	Number int64
+	// Task is zero for a run that has no name of a task.
 	Task       workload.TaskID
 	Run        int
 	Outcome    Outcome
--- a/cell/unknown_test.go
+++ b/cell/unknown_test.go
@@ -36,3 +36,21 @@
 	actions, _, _ := w.TakeOutput()
 	c.Assert(actions.Stops, qt.HasLen, 1)
 }
+
+// A worker lists the end of a run that has no name of a task. It must be acknowledged, so that it
+// leaves the list, and must change nothing else.
+func TestEndWithoutTaskIsAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Plain", 1, nil))
+	running := w.workers["w0"].running
+	c.Assert(w.HandleReport(w.now, w.now, "w0", cell.Report{Life: 1, Running: running, Ended: []cell.EndedRun{{Number: 8}}, Complete: true}), qt.Equals, int64(8))
+	w.step()
+	c.Assert(w.starts, qt.HasLen, 1)
+	c.Assert(w.stops, qt.HasLen, 0)
+	w.workers["w0"].number = 8
+	w.workers["w0"].endAll(cell.EndedDone)
+	w.reportAll()
+	c.Assert(w.states[id(1)], qt.Equals, workload.Done)
+	c.Assert(w.starts, qt.HasLen, 1)
+}
