front: the row of a host with an impossible number of processors is ignored

A host compares its processor time with the largest of all known hosts, to rank itself for a takeover. Only hosts write this table; no such row has been seen.

--- a/front/malformed_test.go
+++ b/front/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -101,6 +102,17 @@
 	return ledger.Row{Table: ledger.MemberTable, Key: key, Value: value}
 }
 
+// A row states a number of processors that no host has. Hosts compare themselves with the largest
+// known one, so that none would seem capable of owning the cell.
+func TestMemberWithOddProcessorsIsIgnored(t *testing.T) {
+	sound := memberRow(t, "h1", map[int]any{1: "10.0.0.1:1", 5: 0.5})
+	for _, processors := range []any{math.NaN(), math.Inf(1), math.Inf(-1), 1e300, -1.0, "1", uint64(math.MaxUint64), []any{1}} {
+		listed, changed := front.ListMembers([]ledger.Row{sound, memberRow(t, "odd", map[int]any{1: "10.0.0.2:1", 5: processors})})
+		qt.Check(t, listed, qt.DeepEquals, []string{"h1"}, qt.Commentf("%v", processors))
+		qt.Check(t, changed, qt.DeepEquals, []string{"h1"}, qt.Commentf("%v", processors))
+	}
+}
+
 // FuzzMembers decodes arbitrary bytes as the row of a host, between two valid rows, which
 // must be kept.
 func FuzzMembers(f *testing.F) {
--- a/front/member.go
+++ b/front/member.go
@@ -18,6 +18,8 @@
 const (
 	// registerRetryInterval is the pause before a host retries to write its row.
 	registerRetryInterval = 500 * time.Millisecond
+	// maxMemberProcessors bounds the processor time that a host may state, in cores.
+	maxMemberProcessors = 1_000_000
 	// memberWatchPause is the minimum interval between two calls of the watch of members,
 	// which change over minutes, not seconds.
 	memberWatchPause = 500 * time.Millisecond
@@ -88,10 +90,12 @@
 	m.onChange()
 }
 
+// decodeMember decodes the row of a host, and reports whether it is valid. A number of
+// processors out of bounds, or none, would make all other hosts seem too small to own the cell.
 func decodeMember(r ledger.Row) (member, bool) {
 	var k member
 	err := codec.Unmarshal(r.Value, &k)
-	return k, err == nil && k.Address != ""
+	return k, err == nil && k.Address != "" && k.Processors >= 0 && k.Processors <= maxMemberProcessors
 }
 
 // registerMember writes the row of this host, retrying until the store has recorded it.
