--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -150,8 +150,21 @@
 // SyncSessions calls syncSessions.
 func (o *Owner) SyncSessions(ctx context.Context) { o.syncSessions(ctx) }
 
-// ApplyWorkerList calls applyWorkerList.
-func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) { o.applyWorkerList(now, rows) }
+// ApplyWorkerList applies a list of rows of the worker table.
+func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) {
+	o.applyWorkerList(now, o.decodeAnnouncements(rows))
+}
+
+// ApplyWorkerRow applies a change of a row of the worker table.
+func (o *Owner) ApplyWorkerRow(now time.Duration, r ledger.Row) {
+	o.applyAnnouncement(now, o.decodeAnnouncement(r))
+}
+
+// RejectionLog exports rejectionLog.
+type RejectionLog = rejectionLog
+
+// Allow calls allow.
+func (l *rejectionLog) Allow(now time.Duration, key string) (bool, int) { return l.allow(now, key) }
 
 // RemoveMissing calls removeMissing.
 func (o *Owner) RemoveMissing(now time.Duration) { o.removeMissing(now) }
