cell: the next owner keeps occurrences that its own clock says are not due yet

Cause: an owner restored only the occurrences that are due by its own wall clock. If its predecessor's clock was ahead, the record of an occurrence that had begun was ignored: tasks that were done started again (TWICE), others with run number 1 and without their last checkpoint, and a cancellation did not stop the runs, which are then found as unknown runs only by a report.

Every occurrence in the record now counts as due.

The record of an occurrence that the job does not have is still ignored.

--- a/cell/job.go
+++ b/cell/job.go
@@ -160,12 +160,17 @@
 		if j.Schedule.Count > 0 && j.Schedule.Due(j.dueCount) > c.wallClock {
 			return
 		}
-		for i, s := range j.Steps {
-			j.steps = append(j.steps, newStep(now, j, s, workload.StepID{Job: j.ID, Occurrence: j.dueCount, Step: i}))
-		}
-		j.dueCount++
-		c.stale = true
+		c.addOccurrence(now, j)
+	}
+}
+
+// addOccurrence adds the steps of the next occurrence.
+func (c *Cell) addOccurrence(now time.Duration, j *job) {
+	for i, s := range j.Steps {
+		j.steps = append(j.steps, newStep(now, j, s, workload.StepID{Job: j.ID, Occurrence: j.dueCount, Step: i}))
 	}
+	j.dueCount++
+	c.stale = true
 }
 
 func newStep(now time.Duration, j *job, s workload.Step, id workload.StepID) *step {
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -18,6 +18,13 @@
 	}
 	c.jobs[j.ID] = j
 	c.addDueOccurrences(j.acceptedAt, j)
+	// The clock of the earlier owner may have been ahead: an occurrence that it began counts as
+	// due.
+	for _, s := range p.Steps {
+		for j.dueCount <= min(s.Occurrence, j.Occurrences()-1) {
+			c.addOccurrence(j.acceptedAt, j)
+		}
+	}
 	for _, s := range p.Steps {
 		if !inRange(s.Occurrence, j.dueCount) || !inRange(s.Step, len(j.Steps)) {
 			c.log(LogEntry{Event: "record ignored", Job: j.ID, Reason: "the record names a step that the job does not have"})
