--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/ledger"
 )
@@ -123,15 +124,7 @@
 func (o *Owner) dispatch(ctx context.Context) {
 	actions, changes, entries := o.cell.TakeOutput()
 	o.logEntries(entries)
-	for _, c := range changes {
-		_, earlier := o.records.finished.get(c.Job.ID)
-		o.records.add(time.Now().UnixMilli(), c)
-		if c.Progress.State.Final() && !earlier {
-			o.dispatcher.RemoveJob(c.Job.ID)
-			o.pendingFinal[c.Job.ID] = true
-			o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, c.Job.ID) })
-		}
-	}
+	o.addChanges(changes)
 	for _, s := range actions.Starts {
 		o.pendingEffects = append(o.pendingEffects, func() { o.enqueueStart(s) })
 	}
@@ -154,6 +147,19 @@
 	o.syncSessions(ctx)
 }
 
+// addChanges hands changes of the cell to the records.
+func (o *Owner) addChanges(changes []cell.Change) {
+	for _, c := range changes {
+		_, earlier := o.records.finished.get(c.Job.ID)
+		o.records.add(time.Now().UnixMilli(), c)
+		if c.Progress.State.Final() && !earlier {
+			o.dispatcher.RemoveJob(c.Job.ID)
+			o.pendingFinal[c.Job.ID] = true
+			o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, c.Job.ID) })
+		}
+	}
+}
+
 // sendQuestions sends waiting advice questions to hosts that are free.
 func (o *Owner) sendQuestions() {
 	if !o.adviceDue || o.dispatcher.QueueLength() == 0 {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -193,3 +193,44 @@
 
 // RecoverLearned calls recoverLearned.
 func (o *Owner) RecoverLearned(ctx context.Context) error { return o.recoverLearned(ctx) }
+
+// AddChanges calls addChanges.
+func (o *Owner) AddChanges(changes []cell.Change) { o.addChanges(changes) }
+
+// BeginCommit starts a transaction that the test applies to a store, and returns its changes.
+func (o *Owner) BeginCommit(now time.Duration) ([]ledger.Change, error) {
+	o.queueNewJobReplies()
+	changes, err := o.records.drainChanges()
+	o.inFlightEffects, o.pendingEffects = o.pendingEffects, nil
+	o.committing = true
+	o.inFlightSince.Store(int64(now))
+	return changes, err
+}
+
+// CompleteCommit calls completeCommit.
+func (o *Owner) CompleteCommit() { o.completeCommit() }
+
+// HasChanges reports whether a transaction is due.
+func (o *Owner) HasChanges() bool {
+	return !o.records.isClean() || len(o.pendingEffects) > 0 || len(o.newJobReplies) > 0
+}
+
+// RestoreJobs restores the jobs in the rows that an earlier owner wrote.
+func (o *Owner) RestoreJobs(now, orderDeadline time.Duration, rows []ledger.Row) error {
+	if err := o.records.Load(rows...); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Table != ledger.JobTable {
+			continue
+		}
+		jobs, err := o.records.jobs.load(r)
+		if err != nil {
+			return err
+		}
+		for _, job := range jobs {
+			o.restoreJob(now, orderDeadline, job)
+		}
+	}
+	return nil
+}
