decision: a cancellation is not answered with NotRun once the lease has lapsed

Cause: work that was refused with NotRun and a time to come back may be accepted by the next owner. Repeats and queries of such work are answered with Unknown once the lease has lapsed; a cancellation was still answered with NotRun.

It is now answered like a query.

Evidence: TestLapsedLeaseMakesCancelledRefusalUnknown got NotRun before.

--- a/decision/cancel.go
+++ b/decision/cancel.go
@@ -11,7 +11,7 @@
 		return
 	}
 	if requestChart.Final(j.state) {
-		c.emit(Reply{Caller: e.Caller, Answer: j.answer})
+		c.joinCaller(j, e.Caller, true)
 		return
 	}
 	j.endWaiters = append(j.endWaiters, e.Caller)
