soak: any 2xx or 410 to a DELETE acknowledges a cancellation

The rule itself was checked too narrowly as well. A start or a run was only checked if no fault had overlapped the time since the acknowledgement, so that a cancellation acknowledged beside a fault was never checked. Now a start is late if the 4 s before it were calm, and a task must be gone after any calm stretch of cancel_ms + stop_ms after the acknowledgement, also a task that runs still. The text of a violation tells the status and the host of the acknowledgement and whether the submission was accepted before it, which distinguishes the known causes.

Three existing cases of TestCheck had a run that never ends. They keep their rule and their result; their run now starts at 4.5 s in place of 5 s and ends, as it would break the rule on tasks that run on too.

--- a/soak/check.go
+++ b/soak/check.go
@@ -91,11 +91,43 @@
 	return true
 }
 
+// hasCalmStretch reports whether a period without disruptions, apart from planned faults
+// that keep connections, of the given length and with calmWindow of calm before it, lies
+// between two times.
+func (c *checker) hasCalmStretch(from, to time.Time, length time.Duration) bool {
+	for {
+		end := from.Add(length)
+		if !end.Before(to) {
+			return false
+		}
+		latest, disturbed := time.Time{}, false
+		for _, d := range c.Disruptions {
+			isOver := !d.To.IsZero() && d.To.Before(from.Add(-calmWindow))
+			switch {
+			case keepsConnections(d.Fault.Kind) || isOver || !d.From.Before(end):
+			case d.To.IsZero():
+				return false
+			default:
+				disturbed = true
+				if d.To.After(latest) {
+					latest = d.To
+				}
+			}
+		}
+		if !disturbed {
+			return true
+		}
+		from = latest.Add(calmWindow + 1)
+	}
+}
+
 // jobSummary is a job with a summary of its calls.
 type jobSummary struct {
 	*Job
 	// accepted and cancelled are the times of the first acknowledgements, or zero.
 	accepted, cancelled time.Time
+	// acknowledgement is the call that was answered at cancelled.
+	acknowledgement Call
 	// cancelSent reports whether a cancellation was sent, rejected whether the job was
 	// closed and each submission of it was rejected.
 	cancelSent, rejected bool
@@ -108,8 +140,8 @@
 		switch {
 		case call.Method == http.MethodDelete:
 			v.cancelSent = true
-			if v.cancelled.IsZero() && call.Status == http.StatusOK {
-				v.cancelled = call.Ended
+			if v.cancelled.IsZero() && isCancelAcknowledged(call) {
+				v.cancelled, v.acknowledgement = call.Ended, call
 			}
 		case call.Method != http.MethodPost:
 		case call.Status == http.StatusOK:
@@ -126,6 +158,26 @@
 	return v
 }
 
+// isCancelAcknowledged reports whether the response to a call acknowledges a cancellation:
+// that the job is cancelled, or that there is none.
+func isCancelAcknowledged(call Call) bool {
+	isSuccess := call.Status >= http.StatusOK && call.Status < http.StatusMultipleChoices
+	return call.Method == http.MethodDelete && (isSuccess || call.Status == http.StatusGone)
+}
+
+// describeCancellation returns a text on the acknowledgement of a job's cancellation.
+func (v *jobSummary) describeCancellation() string {
+	a := v.acknowledgement
+	text := fmt.Sprintf("its cancellation was acknowledged with status %d by host %d after %s", a.Status, a.Host, a.Ended.Sub(a.Begun))
+	if v.accepted.IsZero() {
+		return text + ", no submission was"
+	}
+	if v.accepted.After(a.Ended) {
+		return text + fmt.Sprintf(", its submission %s later", v.accepted.Sub(a.Ended))
+	}
+	return text + fmt.Sprintf(", its submission %s before", a.Ended.Sub(v.accepted))
+}
+
 // checkCalls checks the responses to callers against the runs.
 func (c *checker) checkCalls() {
 	ends := c.endsOfTasks()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -29,8 +29,10 @@
 	return soak.Call{Method: http.MethodGet, Begun: at(from), Sent: at(from), Ended: at(to), Status: status, State: state}
 }
 
-func cancel(from, to float64) soak.Call {
-	return soak.Call{Method: http.MethodDelete, Begun: at(from), Sent: at(from), Ended: at(to), Status: http.StatusOK}
+func cancel(from, to float64) soak.Call { return cancelWith(from, to, http.StatusOK) }
+
+func cancelWith(from, to float64, status int) soak.Call {
+	return soak.Call{Method: http.MethodDelete, Begun: at(from), Sent: at(from), Ended: at(to), Status: status}
 }
 
 func event(seconds float64, kind workerstandin.RunEventKind, worker, task string, run int, how string) workerstandin.RunEvent {
@@ -92,6 +94,10 @@
 	whole := []workerstandin.RunEvent{
 		began(1, "w1", first, 1), ended(2, "w1", first, 1, "done"), began(3, "w2", second, 1), ended(4, "w2", second, 1, "done"),
 	}
+	// brief is a run of the first task that ends soon.
+	brief := func(seconds float64) []workerstandin.RunEvent {
+		return []workerstandin.RunEvent{began(seconds, "w1", first, 1), ended(seconds+0.2, "w1", first, 1, "stopped")}
+	}
 	brokenCall := soak.Call{Method: http.MethodGet, Begun: at(10), Sent: at(10), Ended: at(11), Broken: true}
 	brokenEarly := brokenCall
 	brokenEarly.Ended = at(10.1)
@@ -122,9 +128,23 @@
 		{"another specification", observation(accepted, otherSpec), "UNASKED"},
 		{"rejected and started", observation([]soak.Call{post(0, 0.1, 503), post(1, 1.1, 429)}, began(2, "w1", first, 1)), "REFUSED"},
 		{"rejected after a call without a response", fault(observation([]soak.Call{post(0, 0.1, 0), post(9, 9.1, 503)}, began(2, "w1", first, 1)), soak.Kill, 0, 0.2), ""},
-		{"start after the cancellation", observation(withCalls(cancel(1, 1.1)), began(5, "w1", first, 1)), "UNASKED"},
-		{"start after the cancellation beside a fault", fault(observation(withCalls(cancel(1, 1.1)), began(5, "w1", first, 1)), soak.Kill, 2, 3), ""},
-		{"start after the cancellation beside a change", fault(observation(withCalls(cancel(1, 1.1)), began(5, "w1", first, 1)), soak.ChangeCatalogue, 2, 3), "UNASKED"},
+		{"start after the cancellation", observation(withCalls(cancel(1, 1.1)), brief(4.5)...), "UNASKED"},
+		{"start after the cancellation beside a fault", fault(observation(withCalls(cancel(1, 1.1)), brief(4.5)...), soak.Kill, 2, 3), ""},
+		{"start after the cancellation beside a change", fault(observation(withCalls(cancel(1, 1.1)), brief(4.5)...), soak.ChangeCatalogue, 2, 3), "UNASKED"},
+		{"start after a cancellation beside a fault that ended long before the start", fault(observation(withCalls(cancel(1, 1.1)), brief(8)...), soak.Kill, 0.5, 3), "UNASKED"},
+		{"start after a cancellation acknowledged with 410", observation(withCalls(cancelWith(1, 1.1, 410)), brief(4.5)...), "UNASKED"},
+		{"start after a cancellation acknowledged with 202", observation(withCalls(cancelWith(1, 1.1, 202)), brief(4.5)...), "UNASKED"},
+		{"start after a cancellation that was rejected", observation(withCalls(cancelWith(1, 1.1, 503)), brief(4.5)...), ""},
+		{"start soon after a cancellation acknowledged with 410", observation(withCalls(cancelWith(1, 1.1, 410)), brief(4)...), ""},
+		{"start of a job accepted after its cancellation", observation([]soak.Call{cancelWith(0, 0.1, 410), post(1, 1.1, 200)}, brief(3.5)...), "UNASKED"},
+		{"start of a job whose submission had no answer after its cancellation", observation([]soak.Call{cancelWith(0, 0.1, 410), post(0, 3, 504)}, brief(3.5)...), "UNASKED"},
+		{"continues to run after a cancellation acknowledged with 410", observation(withCalls(cancelWith(1, 1.1, 410)), began(0.5, "w1", first, 1), ended(5.5, "w1", first, 1, "done")), "UNASKED"},
+		{"runs on until now after the cancellation", observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1)), "UNASKED"},
+		{"ends soon after the cancellation", observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(4.5, "w1", first, 1, "stopped")), ""},
+		{"runs on through a calm stretch after a fault", fault(observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(11.5, "w1", first, 1, "done")), soak.Pause, 0.8, 3), "UNASKED"},
+		{"runs on beside a fault and ends before a calm stretch", fault(observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(10.5, "w1", first, 1, "done")), soak.Pause, 0.8, 3), ""},
+		{"runs on beside faults without a calm stretch between them", fault(fault(observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(17, "w1", first, 1, "done")), soak.Pause, 0.8, 3), soak.Kill, 10, 14), ""},
+		{"runs on through a calm stretch between two faults", fault(fault(observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(17, "w1", first, 1, "done")), soak.Pause, 0.8, 3), soak.Kill, 11.5, 14), "UNASKED"},
 		{"continues to run after the cancellation", observation(withCalls(cancel(1, 1.1)), began(0.5, "w1", first, 1), ended(5.5, "w1", first, 1, "stopped")), "UNASKED"},
 		{"start on a draining worker", fault(observation(accepted, began(5, "w0", first, 1)), soak.DrainWorker, 2, 9), "DRAIN"},
 		{"start on the next life of a drained worker", fault(observation(accepted, workerEvent(3, workerstandin.LifeEnded, "w0"), began(5, "w0", first, 1)), soak.DrainWorker, 2, 9), ""},
--- a/soak/checkruns.go
+++ b/soak/checkruns.go
@@ -45,10 +45,15 @@
 			t.running[id] = e.At
 		case workerstandin.RunEnded, workerstandin.RunGone:
 			delete(t.running, id)
-			c.checkCancelled(e)
+			c.checkCancelled(e.Task, e.At)
 			t.addEnd(e, id)
 		}
 	}
+	for name, t := range tasks {
+		if len(t.running) > 0 {
+			c.checkCancelled(name, c.At)
+		}
+	}
 }
 
 func (t *taskRuns) addEnd(e workerstandin.RunEvent, id runID) {
@@ -135,8 +140,8 @@
 		c.addViolation(e.At, "UNASKED", "%s starts %s with a specification that differs from the submitted one", e.Worker, e.Task)
 	case v.rejected:
 		c.addViolation(e.At, "REFUSED", "%s starts %s, but each submission of its job was rejected", e.Worker, e.Task)
-	case !v.cancelled.IsZero() && e.At.Sub(v.cancelled) > maxCancelDelay && c.isUndisturbed(v.cancelled, e.At, keepsConnections):
-		c.addViolation(e.At, "UNASKED", "%s starts %s, %s after its job was cancelled", e.Worker, e.Task, e.At.Sub(v.cancelled))
+	case !v.cancelled.IsZero() && e.At.Sub(v.cancelled) > maxCancelDelay && c.isUndisturbed(e.At, e.At, keepsConnections):
+		c.addViolation(e.At, "UNASKED", "%s starts %s, %s after %s", e.Worker, e.Task, e.At.Sub(v.cancelled), v.describeCancellation())
 	}
 	for _, before := range v.Steps[step].After {
 		for index := range v.Steps[before].Tasks {
@@ -148,15 +153,13 @@
 	}
 }
 
-// checkCancelled checks that a run ends in time after its job was cancelled.
-func (c *checker) checkCancelled(e workerstandin.RunEvent) {
-	id, _, _ := parseTask(e.Task)
+// checkCancelled checks that a task, which ran until a time, has not run on through a calm
+// stretch after its job was cancelled.
+func (c *checker) checkCancelled(name string, until time.Time) {
+	id, _, _ := parseTask(name)
 	v := c.jobs[id]
-	if v == nil || v.cancelled.IsZero() {
-		return
-	}
-	if late := e.At.Sub(v.cancelled); late > maxCancelDelay+maxStopTime && c.isUndisturbed(v.cancelled, e.At, keepsConnections) {
-		c.addViolation(e.At, "UNASKED", "%s runs until %s after its job was cancelled", e.Task, late)
+	if v != nil && !v.cancelled.IsZero() && c.hasCalmStretch(v.cancelled, until, maxCancelDelay+maxStopTime) {
+		c.addViolation(until, "UNASKED", "%s runs until %s after %s", name, until.Sub(v.cancelled), v.describeCancellation())
 	}
 }
 
