soak: jobs that are cancelled at once, beside takeovers in short succession

The callers of the soak cancelled a job seconds after its submission, at the host that had accepted it, and gave up after 4 s, before a paused host went on.

Six of ten bursts also have a series of faults of the current owner, in which it is replaced while it still runs.

At the end a job is asked for also if its cancellation was answered with 410; that no longer counts as its end.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -146,6 +146,9 @@
 
 func path(j Job) string { return "/" + j.Queue + "/" + j.ID }
 
+// jobID returns the ID of the job that was drawn last.
+func (c *caller) jobID() string { return fmt.Sprintf("%04x%012x", c.number+1, c.jobCount) }
+
 // drawJob draws a job. Most are small; some fail, and some run for as long as a lease, so
 // that a delayed order meets the next run of its task.
 func (c *caller) drawJob() Job {
@@ -161,7 +164,7 @@
 		b.FailingRuns = 1
 	}
 	b.RunTime = length.String()
-	j := Job{ID: fmt.Sprintf("%04x%012x", c.number+1, c.jobCount), Queue: queues[c.random.IntN(len(queues))].Name}
+	j := Job{ID: c.jobID(), Queue: queues[c.random.IntN(len(queues))].Name}
 	steps := 1 + c.random.IntN(3)
 	if length > longTaskThreshold {
 		steps = 1
@@ -183,17 +186,18 @@
 
 // call makes a call to the caller's host and chooses a host anew after a failure.
 func (c *caller) call(method, path string, body []byte) Call {
-	call := makeCall(c.client, c.hosts, c.host, method, path, body)
+	call := makeCall(c.client, c.hosts, c.host, method, path, body, callTimeout)
 	if call.Status == 0 || call.Status >= http.StatusInternalServerError {
 		c.host = c.random.IntN(len(c.hosts))
 	}
 	return call
 }
 
-// makeCall makes one call over a persistent connection.
-func makeCall(client *http.Client, hosts []string, host int, method, path string, body []byte) Call {
+// makeCall makes one call over a persistent connection. It sends the timeout with the call
+// and waits a little longer.
+func makeCall(client *http.Client, hosts []string, host int, method, path string, body []byte, timeout time.Duration) Call {
 	call := Call{Method: method, Host: host, Begun: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+responseSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+responseSlack)
 	defer cancel()
 	sent := make(chan time.Time, 1)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
@@ -206,7 +210,7 @@
 			}
 		}
 	}})
-	status, state, err := exchange(ctx, client, hosts[host], method, path, body)
+	status, state, err := exchange(ctx, client, hosts[host], method, path, body, timeout)
 	call.Ended, call.Status, call.State = time.Now(), status, state
 	if err != nil {
 		call.Error, call.Status = err.Error(), 0
@@ -219,7 +223,7 @@
 	return call
 }
 
-func exchange(ctx context.Context, client *http.Client, host, method, path string, body []byte) (int, string, error) {
+func exchange(ctx context.Context, client *http.Client, host, method, path string, body []byte, timeout time.Duration) (int, string, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", errors.Trace(err)
@@ -227,7 +231,7 @@
 	// The transport must not retry calls by itself.
 	request.GetBody = nil
 	request.Host = virtualHost
-	request.Header.Set("Timeout-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	request.Header.Set("Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	r, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
--- a/soak/history.go
+++ b/soak/history.go
@@ -82,6 +82,21 @@
 	h.disruptions[number].To = time.Now()
 }
 
+// disturbedHosts returns the hosts with a fault after which they may not know that they have
+// been replaced as the owner, or with one that has ended since a time.
+func (h *history) disturbedHosts(since time.Time) []int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var hosts []int
+	for _, d := range h.disruptions {
+		isRecent := d.To.IsZero() || d.To.After(since)
+		if isRecent && slices.Contains(takeoverKinds, d.Fault.Kind) && !slices.Contains(hosts, d.Fault.Host) {
+			hosts = append(hosts, d.Fault.Host)
+		}
+	}
+	return hosts
+}
+
 func (h *history) addCrash(host string, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -49,6 +50,9 @@
 		Kill, Kill, KillAll, Pause, Pause, StoreDown, StoreSlow, LoseAnswers, LoseAnswers, DropHistory, CutStore, HoldStore, SilenceStore,
 		CutWorker, HoldWorker, SilenceWorker, DelayWorkers, CutHosts, HoldHosts, SilenceHosts, ResetLinks, RestartWorker, MuteWorker,
 	}
+	// takeoverKinds are the faults of the owner after which another host takes the cell while
+	// the first still runs.
+	takeoverKinds = []Kind{Pause, CutStore, HoldStore, SilenceStore}
 )
 
 // Planned reports whether a fault is work of an operator.
@@ -95,17 +99,29 @@
 	// workers.
 	ownerRatio, allWorkersRatio = 0.5, 0.3
 	maxLostAnswers              = 5
+	// takeoverStream is the stream of random numbers for takeovers; the other faults of a
+	// seed don't depend on it.
+	takeoverStream = 1 << 32
+	// takeoverRatio is the share of bursts with a series of takeovers.
+	takeoverRatio = 0.6
+	// Bounds of the time between two takeovers of a series, and of the length of their faults,
+	// which is above the time in which an owner is replaced.
+	minTakeoverInterval, maxTakeoverInterval = 900 * time.Millisecond, 2500 * time.Millisecond
+	minTakeoverFault, maxTakeoverFault       = 1200 * time.Millisecond, 4 * time.Second
 )
 
 // NewPlan draws the faults of a run from a seed, in order. The first burst begins 1 s
 // after the start or later, and the last fault ends within the length.
 func NewPlan(seed uint64, length time.Duration, hosts, workers int) []Fault {
-	r := rand.New(rand.NewPCG(seed, 0))
+	r, takeovers := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, takeoverStream))
 	var plan []Fault
 	at := time.Second
 	for at < length {
 		kinds := drawBurstKinds(r)
 		end := min(at+between(r, minBurst, maxBurst), length)
+		if takeovers.Float64() < takeoverRatio && !isPlanned(kinds) {
+			plan = append(plan, drawTakeovers(takeovers, at, end, length, hosts)...)
+		}
 		for at += between(r, 0, 2*meanFaultInterval); at < end; at += between(r, 0, 2*meanFaultInterval) {
 			f := drawFault(r, kinds, hosts, workers)
 			f.At, f.Length = at, min(f.Length, length-at)
@@ -113,9 +129,28 @@
 		}
 		at = end + between(r, minCalm, maxCalm)
 	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+func isPlanned(kinds []Kind) bool {
+	return !slices.ContainsFunc(kinds, func(k Kind) bool { return !k.Planned() })
+}
+
+// drawTakeovers draws a series of faults between two times, each of the host that owns the
+// cell then.
+func drawTakeovers(r *rand.Rand, from, to, length time.Duration, hosts int) []Fault {
+	var series []Fault
+	for at := from; at < to; at += between(r, minTakeoverInterval, maxTakeoverInterval) {
+		host := r.IntN(hosts)
+		series = append(series, Fault{
+			Kind: takeoverKinds[r.IntN(len(takeoverKinds))], At: at, Length: min(between(r, minTakeoverFault, maxTakeoverFault), length-at),
+			Host: host, Other: host, Owner: true, There: true, Back: r.IntN(2) == 0,
+		})
+	}
+	return series
+}
+
 // drawBurstKinds draws a few kinds, so that faults of the same kind follow each other in a
 // burst.
 func drawBurstKinds(r *rand.Rand) []Kind {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -46,3 +46,21 @@
 	}
 	qt.Assert(t, overlaps > len(plan)/4, qt.IsTrue)
 }
+
+// Guards against plans without takeovers in short succession, in which a host that was
+// replaced as the owner may answer calls from its memory.
+func TestPlanHasSeriesOfTakeovers(t *testing.T) {
+	series := 0
+	var last time.Duration
+	for _, f := range soak.NewPlan(1, 10*time.Minute, 6, 8) {
+		isTakeover := slices.Contains([]soak.Kind{soak.Pause, soak.CutStore, soak.HoldStore, soak.SilenceStore}, f.Kind) && f.Owner
+		if !isTakeover || f.Length < time.Second {
+			continue
+		}
+		if f.At-last < 3*time.Second {
+			series++
+		}
+		last = f.At
+	}
+	qt.Assert(t, series > 40, qt.IsTrue, qt.Commentf("%d takeovers followed another one within 3 s", series))
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for i := range s.cell.hosts {
-		for makeCall(http.DefaultClient, s.callerAddresses(), i, http.MethodGet, "/"+queues[0].Name+"/", nil).Status != http.StatusOK {
+		for makeCall(http.DefaultClient, s.callerAddresses(), i, http.MethodGet, "/"+queues[0].Name+"/", nil, callTimeout).Status != http.StatusOK {
 			if ctx.Err() != nil {
 				return errors.Errorf("host %d was not ready within %s", i, startTimeout)
 			}
@@ -109,6 +110,10 @@
 		c := newCaller(i, s.options.Seed, s.callerAddresses(), s.history)
 		callers.Go(func() { c.run(ctx) })
 	}
+	for i := range max(1, s.options.Callers/callersPerCanceller) {
+		c := newCanceller(s.options.Callers+i, s.options.Seed, s.callerAddresses(), s.history)
+		callers.Go(func() { c.run(ctx) })
+	}
 	callers.Go(func() { s.probeAddedQueues(ctx) })
 	faults := make(chan struct{})
 	go func() {
@@ -150,7 +155,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		for _, queue := range s.history.addedQueues() {
-			s.history.addRouteCall(queue, makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, "/"+queue+"/", nil))
+			s.history.addRouteCall(queue, makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, "/"+queue+"/", nil, callTimeout))
 		}
 		select {
 		case <-ctx.Done():
@@ -159,58 +164,76 @@
 	}
 }
 
-// awaitJobs asks for all accepted jobs until each has ended or settleTimeout is over.
+// awaitJobs asks for all accepted or cancelled jobs until each has ended and no cancelled one
+// runs, or settleTimeout is over.
 func (s *run) awaitJobs(ctx context.Context) {
 	for end := time.Now().Add(settleTimeout); ; time.Sleep(settlePollInterval) {
 		unfinished := s.pollUnfinished()
 		logrus.WithField("jobs", len(unfinished)).Debug("soak: waiting for jobs to end")
 		s.check()
-		if s.violation != nil || len(unfinished) == 0 || ctx.Err() != nil {
+		if s.violation != nil || ctx.Err() != nil || len(unfinished) == 0 && !s.isCancelledJobRunning() {
 			return
 		}
-		if time.Now().After(end) {
+		if len(unfinished) > 0 && time.Now().After(end) {
 			s.violation = &Violation{At: time.Now(), Rule: "LOST", Text: unfinished[0] + " has not ended in time after the faults"}
 			return
 		}
 	}
 }
 
-// pollUnfinished asks for the accepted jobs that are not known to have ended, and returns
-// those that have not.
+// pollUnfinished asks for the accepted or cancelled jobs that are not known to have ended,
+// and returns those that have not.
 func (s *run) pollUnfinished() []string {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	var unfinished []string
 	for n, j := range s.history.snapshot().Jobs {
-		if newJobSummary(&j).accepted.IsZero() || hasEnded(j) {
+		v := newJobSummary(&j)
+		if v.accepted.IsZero() && v.cancelled.IsZero() || v.hasEnded() {
 			continue
 		}
-		call := makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, path(j), nil)
+		call := makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, path(j), nil, callTimeout)
 		s.history.addCall(j.ID, call)
-		if !isEnd(call) {
+		if !v.isEnd(call) {
 			unfinished = append(unfinished, j.ID)
 		}
 	}
 	return unfinished
 }
 
-func hasEnded(j Job) bool {
-	for _, call := range j.Calls {
-		if isEnd(call) {
-			return true
+// isCancelledJobRunning reports whether a task of a job runs whose cancellation was
+// acknowledged. Such a job may be unknown to the hosts.
+func (s *run) isCancelledJobRunning() bool {
+	cancelled := map[string]bool{}
+	for _, j := range s.history.snapshot().Jobs {
+		cancelled[j.ID] = !newJobSummary(&j).cancelled.IsZero()
+	}
+	running := map[runID]bool{}
+	for _, e := range s.cell.monitor.EventsAfter(0) {
+		id := runID{e.Worker, e.Task, e.Run}
+		switch e.Kind {
+		case workerstandin.RunBegan:
+			if job, _, _ := parseTask(e.Task); cancelled[job] {
+				running[id] = true
+			}
+		case workerstandin.RunEnded, workerstandin.RunGone:
+			delete(running, id)
 		}
 	}
-	return false
+	return len(running) > 0
 }
 
-// isEnd reports whether a response shows that a job has ended. A cancelled job may no
-// longer be known to the host.
-func isEnd(call Call) bool {
+func (v *jobSummary) hasEnded() bool { return slices.ContainsFunc(v.Calls, v.isEnd) }
+
+// isEnd reports whether a response shows that the job has ended. A cancelled job may not be
+// known to the hosts; the acknowledgement itself does not show that it has ended.
+func (v *jobSummary) isEnd(call Call) bool {
 	switch call.State {
 	case stateDone, stateFailed, stateCanceled:
 		return true
 	}
-	return call.Method == http.MethodDelete && call.Status == http.StatusGone
+	return call.Method == http.MethodGet && call.Status == http.StatusGone &&
+		!v.cancelled.IsZero() && call.Begun.After(v.cancelled) && call.Begun.After(v.accepted)
 }
 
 // report builds the report from the observations.
