--- a/soak/plan.go
+++ b/soak/plan.go
@@ -52,7 +52,8 @@
 	}
 	// takeoverKinds are the faults of the owner after which another host takes the cell while
 	// the first still runs.
-	takeoverKinds = []Kind{Pause, CutStore, HoldStore, SilenceStore}
+	takeoverKinds  = append([]Kind{Pause}, storeLinkKinds...)
+	storeLinkKinds = []Kind{CutStore, HoldStore, SilenceStore}
 )
 
 // Planned reports whether a fault is work of an operator.
@@ -108,6 +109,8 @@
 	// which is above the time in which an owner is replaced.
 	minTakeoverInterval, maxTakeoverInterval = 900 * time.Millisecond, 2500 * time.Millisecond
 	minTakeoverFault, maxTakeoverFault       = 1200 * time.Millisecond, 4 * time.Second
+	// Bounds of the calm periods of a run with takeovers only.
+	minTakeoverCalm, maxTakeoverCalm = calmWindow + maxCancelDelay + maxStopTime + time.Second, 11 * time.Second
 )
 
 // NewPlan draws the faults of a run from a seed, in order. The first burst begins 1 s
@@ -133,20 +136,44 @@
 	return plan
 }
 
+// NewTakeoverPlan draws the faults of a run with takeovers in short succession only, in
+// order. Its calm periods are long enough for all that a cancelled job runs on in one to be
+// found.
+func NewTakeoverPlan(seed uint64, length time.Duration, hosts int) []Fault {
+	r := rand.New(rand.NewPCG(seed, takeoverStream))
+	var plan []Fault
+	for at := time.Second; at < length; at += maxTakeoverFault + between(r, minTakeoverCalm, maxTakeoverCalm) {
+		end := min(at+between(r, minBurst, maxBurst), length)
+		plan = append(plan, drawTakeovers(r, at, end, length, hosts)...)
+		at = end
+	}
+	return plan
+}
+
 func isPlanned(kinds []Kind) bool {
 	return !slices.ContainsFunc(kinds, func(k Kind) bool { return !k.Planned() })
 }
 
 // drawTakeovers draws a series of faults between two times, each of the host that owns the
-// cell then.
+// cell then. Half of the owners are paused. Half of the others are cut off from all workers
+// too, which would tell them of their successors.
 func drawTakeovers(r *rand.Rand, from, to, length time.Duration, hosts int) []Fault {
 	var series []Fault
 	for at := from; at < to; at += between(r, minTakeoverInterval, maxTakeoverInterval) {
-		host := r.IntN(hosts)
-		series = append(series, Fault{
-			Kind: takeoverKinds[r.IntN(len(takeoverKinds))], At: at, Length: min(between(r, minTakeoverFault, maxTakeoverFault), length-at),
-			Host: host, Other: host, Owner: true, There: true, Back: r.IntN(2) == 0,
-		})
+		f := Fault{
+			Kind: Pause, At: at, Length: min(between(r, minTakeoverFault, maxTakeoverFault), length-at),
+			Host: r.IntN(hosts), Owner: true, All: true, There: true, Back: r.IntN(2) == 0,
+		}
+		f.Other = f.Host
+		if r.IntN(2) == 0 {
+			f.Kind = storeLinkKinds[r.IntN(len(storeLinkKinds))]
+			if r.IntN(2) == 0 {
+				workers := f
+				workers.Kind = CutWorker
+				series = append(series, workers)
+			}
+		}
+		series = append(series, f)
 	}
 	return series
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -50,17 +50,53 @@
 // Guards against plans without takeovers in short succession, in which a host that was
 // replaced as the owner may answer calls from its memory.
 func TestPlanHasSeriesOfTakeovers(t *testing.T) {
-	series := 0
-	var last time.Duration
-	for _, f := range soak.NewPlan(1, 10*time.Minute, 6, 8) {
-		isTakeover := slices.Contains([]soak.Kind{soak.Pause, soak.CutStore, soak.HoldStore, soak.SilenceStore}, f.Kind) && f.Owner
-		if !isTakeover || f.Length < time.Second {
-			continue
+	for _, test := range []struct {
+		name   string
+		faults []soak.Fault
+		least  int
+	}{
+		{"all faults", soak.NewPlan(1, 10*time.Minute, 6, 8), 40},
+		{"takeovers only", soak.NewTakeoverPlan(1, 10*time.Minute, 6), 60},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := 0
+			var last time.Duration
+			for _, f := range test.faults {
+				isTakeover := slices.Contains([]soak.Kind{soak.Pause, soak.CutStore, soak.HoldStore, soak.SilenceStore}, f.Kind) && f.Owner
+				if !isTakeover || f.Length < time.Second {
+					continue
+				}
+				if f.At-last < 3*time.Second {
+					n++
+				}
+				last = f.At
+			}
+			qt.Assert(t, n >= test.least, qt.IsTrue, qt.Commentf("%d takeovers followed another one within 3 s", n))
+		})
+	}
+}
+
+// Guards against takeover plans that differ for the same seed, that have faults beyond the
+// end of the run or no calm period in which a task must be gone after a cancellation.
+func TestTakeoverPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		length := time.Duration(rapid.IntRange(30, 300).Draw(t, "seconds")) * time.Second
+		hosts := rapid.IntRange(1, 40).Draw(t, "hosts")
+		plan := soak.NewTakeoverPlan(seed, length, hosts)
+		if again := soak.NewTakeoverPlan(seed, length, hosts); !slices.Equal(again, plan) {
+			t.Fatalf("the same seed gave two plans: %v and %v", plan, again)
 		}
-		if f.At-last < 3*time.Second {
-			series++
+		var last, end, calm time.Duration
+		for _, f := range plan {
+			if f.At < last || f.At+f.Length > length || f.Host >= hosts || !f.Owner || !f.There && !f.Back {
+				t.Fatalf("invalid fault: %+v", f)
+			}
+			calm = max(calm, f.At-end)
+			last, end = f.At, max(end, f.At+f.Length)
 		}
-		last = f.At
-	}
-	qt.Assert(t, series > 40, qt.IsTrue, qt.Commentf("%d takeovers followed another one within 3 s", series))
+		if calm < 8*time.Second {
+			t.Fatalf("the longest calm period of %v takes %s", plan, calm)
+		}
+	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,12 +33,22 @@
 	Length time.Duration
 	// Hosts, Workers and Callers are the numbers of each.
 	Hosts, Workers, Callers int
+	// Takeovers reports whether the only faults are takeovers in short succession.
+	Takeovers bool
 	// Program is the path and the arguments that start a host.
 	Program []string
 	// Directory holds the settings and logs of the hosts.
 	Directory string
 }
 
+// plan draws the faults of the run.
+func (o Options) plan() []Fault {
+	if o.Takeovers {
+		return NewTakeoverPlan(o.Seed, o.Length, o.Hosts)
+	}
+	return NewPlan(o.Seed, o.Length, o.Hosts, o.Workers)
+}
+
 // Run runs hosts among stand-ins, injects faults, and returns a report. It returns an error
 // if the run could not be made; a broken rule is in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
@@ -118,7 +128,7 @@
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
-		s.injector.run(ctx, NewPlan(s.options.Seed, s.options.Length, s.options.Hosts, s.options.Workers))
+		s.injector.run(ctx, s.options.plan())
 	}()
 	s.checkUntil(ctx, faults)
 	cancel()
