soak: a report has the logs from the first call about the job

A cancelled job that runs on is found in the next calm stretch, up to some 25 s after the acknowledgement that is the cause. The report had the log lines from 10 s before the violation only, and lacked those of the acknowledgement.

--- a/soak/report.go
+++ b/soak/report.go
@@ -14,8 +14,8 @@
 	"github.com/vanillaquay/vanillaquay/workerstandin"
 )
 
-// The report of a violation includes the log lines from logsBefore before it until
-// logsAfter after it.
+// The report of a violation includes the log lines from logsBefore before it, or from the
+// first call about its job if that is earlier, until logsAfter after it.
 const logsBefore, logsAfter = 10 * time.Second, 2 * time.Second
 
 // Report is the result of a run.
@@ -94,9 +94,13 @@
 			r.Runs = append(r.Runs, e)
 		}
 	}
+	from := r.Violation.At.Add(-logsBefore)
+	if r.Job != nil && len(r.Job.Calls) > 0 && r.Job.Calls[0].Begun.Before(from) {
+		from = r.Job.Calls[0].Begun
+	}
 	r.Logs = map[string][]json.RawMessage{}
 	for _, h := range s.cell.hosts {
-		lines, err := linesBetween(h.logPath, r.Violation.At.Add(-logsBefore), r.Violation.At.Add(logsAfter))
+		lines, err := linesBetween(h.logPath, from, r.Violation.At.Add(logsAfter))
 		if err != nil {
 			logrus.WithError(err).Warn("soak: log not read")
 		}
