--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,18 +12,26 @@
 	"github.com/vanillaquay/vanillaquay/soak"
 )
 
-// seeds are run each time: one with faults of most kinds, and each seed that has failed,
-// with a line on the cause.
-var seeds = []uint64{
-	3,
+// runs are made each time: one with faults of most kinds, and each that has failed, with a
+// line on the cause.
+var runs = []struct {
+	seed      uint64
+	length    time.Duration
+	takeovers bool
+}{
+	{seed: 3, length: 20 * time.Second},
+	// A host that was paused and replaced as the owner acknowledged cancellations of jobs that
+	// its successor had accepted, and cancellations overtook the submissions of their jobs.
+	{seed: 3, length: 15 * time.Second, takeovers: true},
 }
 
 // Six hosts in separate processes keep the rules while faults overlap. Long runs are made
 // by cmd/soak.
 func TestSoak(t *testing.T) {
-	for _, seed := range seeds {
+	for _, run := range runs {
+		seed := run.seed
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Length: 20 * time.Second, Hosts: 6, Workers: 8, Callers: 16,
+			Seed: seed, Length: run.length, Takeovers: run.takeovers, Hosts: 6, Workers: 8, Callers: 16,
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
