--- a/soak/canceller.go
+++ b/soak/canceller.go
@@ -59,9 +59,9 @@
 	for ctx.Err() == nil {
 		select {
 		case c.slots <- struct{}{}:
-			a := c.drawCancellation()
+			drawn := c.drawCancellation()
 			c.pending.Go(func() {
-				a.run(ctx)
+				drawn.run(ctx)
 				<-c.slots
 			})
 		case <-ctx.Done():
@@ -74,14 +74,14 @@
 
 // drawCancellation draws a job and how it is cancelled.
 func (c *canceller) drawCancellation() *cancellation {
-	a := &cancellation{
+	drawn := &cancellation{
 		job: c.drawCancelledJob(), hosts: c.hosts, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), history: c.history, client: c.client,
 		overtaking: c.random.IntN(3) == 0, submissions: 1, cancels: 1,
 	}
 	if c.random.IntN(3) == 0 {
-		a.submissions, a.cancels = 1+c.random.IntN(maxCopies), 1+c.random.IntN(maxCopies)
+		drawn.submissions, drawn.cancels = 1+c.random.IntN(maxCopies), 1+c.random.IntN(maxCopies)
 	}
-	return a
+	return drawn
 }
 
 func (c *canceller) drawCancelledJob() Job {
@@ -123,51 +123,51 @@
 }
 
 // run returns when all calls have ended.
-func (a *cancellation) run(ctx context.Context) {
-	a.history.addJob(a.job)
-	defer a.history.closeJob(a.job.ID)
-	defer a.calls.Wait()
-	body, err := platformstandin.JobDocument(a.job.Spec, a.job.Steps)
+func (c *cancellation) run(ctx context.Context) {
+	c.history.addJob(c.job)
+	defer c.history.closeJob(c.job.ID)
+	defer c.calls.Wait()
+	body, err := platformstandin.JobDocument(c.job.Spec, c.job.Steps)
 	if err != nil {
 		logrus.WithError(err).Error("soak: job not encoded")
 		return
 	}
-	if !a.overtaking {
-		host := a.submit(ctx, body)
-		time.Sleep(between(a.random, 0, maxCancelLatency))
-		a.cancel(ctx, host)
+	if !c.overtaking {
+		host := c.submit(ctx, body)
+		time.Sleep(between(c.random, 0, maxCancelLatency))
+		c.cancel(ctx, host)
 		return
 	}
-	hosts := a.drawHosts(a.submissions, -1, a.random.Float64() < disturbedHostRatio)
-	a.send(hosts, http.MethodPost, body)
-	time.Sleep(between(a.random, 0, maxCancelLatency))
-	a.cancel(ctx, hosts[0])
-	a.send(a.drawHosts(1, hosts[0], false), http.MethodPost, body)
+	hosts := c.drawHosts(c.submissions, -1, c.random.Float64() < disturbedHostRatio)
+	c.send(hosts, http.MethodPost, body)
+	time.Sleep(between(c.random, 0, maxCancelLatency))
+	c.cancel(ctx, hosts[0])
+	c.send(c.drawHosts(1, hosts[0], false), http.MethodPost, body)
 }
 
 // submit submits the job until it is accepted, at most maxSubmitCalls times, and returns the
 // host that was called last.
-func (a *cancellation) submit(ctx context.Context, body []byte) int {
+func (c *cancellation) submit(ctx context.Context, body []byte) int {
 	host := -1
 	for n := 0; n < maxSubmitCalls && ctx.Err() == nil; n++ {
-		hosts := a.drawHosts(a.submissions, -1, false)
+		hosts := c.drawHosts(c.submissions, -1, false)
 		host = hosts[0]
 		isAccepted := func(call Call) bool { return call.Status == http.StatusOK }
-		if call, ok := first(a.send(hosts, http.MethodPost, body), isAccepted); ok {
+		if call, ok := first(c.send(hosts, http.MethodPost, body), isAccepted); ok {
 			return call.Host
 		}
-		time.Sleep(between(a.random, minRetryDelay, maxRetryDelay))
+		time.Sleep(between(c.random, minRetryDelay, maxRetryDelay))
 	}
 	return host
 }
 
 // cancel cancels the job at other hosts than the given one until that is acknowledged. Once
 // the context is cancelled it gives up after finalCancelTime.
-func (a *cancellation) cancel(ctx context.Context, except int) {
+func (c *cancellation) cancel(ctx context.Context, except int) {
 	var end time.Time
 	for {
-		hosts := a.drawHosts(a.cancels, except, a.random.Float64() < disturbedHostRatio)
-		if _, ok := first(a.send(hosts, http.MethodDelete, nil), isCancelAcknowledged); ok {
+		hosts := c.drawHosts(c.cancels, except, c.random.Float64() < disturbedHostRatio)
+		if _, ok := first(c.send(hosts, http.MethodDelete, nil), isCancelAcknowledged); ok {
 			return
 		}
 		if ctx.Err() != nil && end.IsZero() {
@@ -176,23 +176,23 @@
 		if !end.IsZero() && time.Now().After(end) {
 			return
 		}
-		time.Sleep(between(a.random, minRetryDelay, maxRetryDelay))
+		time.Sleep(between(c.random, minRetryDelay, maxRetryDelay))
 	}
 }
 
 // send makes a call about the job to each of the hosts at once, and returns a channel that
 // has their outcomes and is closed after the last one.
-func (a *cancellation) send(hosts []int, method string, body []byte) <-chan Call {
+func (c *cancellation) send(hosts []int, method string, body []byte) <-chan Call {
 	outcomes := make(chan Call, len(hosts))
 	var copies sync.WaitGroup
 	for _, host := range hosts {
 		copies.Go(func() {
-			call := makeCall(a.client, a.hosts, host, method, path(a.job), body, cancellerTimeout)
-			a.history.addCall(a.job.ID, call)
+			call := makeCall(c.client, c.hosts, host, method, path(c.job), body, cancellerTimeout)
+			c.history.addCall(c.job.ID, call)
 			outcomes <- call
 		})
 	}
-	a.calls.Go(func() {
+	c.calls.Go(func() {
 		copies.Wait()
 		close(outcomes)
 	})
@@ -211,12 +211,12 @@
 
 // drawHosts draws up to n hosts other than the given one. Disturbed hosts come first or
 // last.
-func (a *cancellation) drawHosts(n, except int, disturbedFirst bool) []int {
-	hosts := a.random.Perm(len(a.hosts))
+func (c *cancellation) drawHosts(n, except int, disturbedFirst bool) []int {
+	hosts := c.random.Perm(len(c.hosts))
 	if len(hosts) > 1 {
 		hosts = slices.DeleteFunc(hosts, func(host int) bool { return host == except })
 	}
-	disturbed := a.history.disturbedHosts(time.Now().Add(-disturbedMemory))
+	disturbed := c.history.disturbedHosts(time.Now().Add(-disturbedMemory))
 	rank := func(host int) int {
 		if slices.Contains(disturbed, host) == disturbedFirst {
 			return 0
