soak: runs at the same time use different addresses

A run by hand beside three others ended with "address already in use", as the network of a run followed from the process ID alone. A run now reserves its network by a listener on an address that nothing else in it uses, and takes the next one if that fails.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -26,6 +26,10 @@
 	// J for worker J and firstHost + J for host J.
 	realView, firstView    = 100, 101
 	firstWorker, firstHost = 1, 101
+	// reservedNumber is the X of an address that no host and no worker has.
+	reservedNumber = 254
+	// Bounds of N.
+	firstNetwork, networkCount = 10, 200
 	// processorsPerWorker is the capacity of a worker in thousandths of a processor.
 	processorsPerWorker = 8000
 	// statusRetentionSeconds is how long hosts report the state of a job, in seconds.
@@ -37,13 +41,15 @@
 // cell is a complete deployment: hosts are processes, and everything else is a stand-in in
 // this process.
 type cell struct {
-	// network is the second byte of all addresses.
-	network   int
-	directory string
-	store     *platformstandin.Rows
-	monitor   *workerstandin.Monitor
-	workers   []*workerstandin.Runner
-	hosts     []*process
+	// network is the second byte of all addresses; reservation is a listener that keeps other
+	// runs from using it.
+	network     int
+	reservation net.Listener
+	directory   string
+	store       *platformstandin.Rows
+	monitor     *workerstandin.Monitor
+	workers     []*workerstandin.Runner
+	hosts       []*process
 	// The links of each host to the store, to each worker and to each host.
 	storeLinks    []*proxytest.Proxy
 	workerLinks   [][]*proxytest.Proxy
@@ -63,11 +69,8 @@
 
 // openCell starts the stand-ins and the proxies, but not the hosts.
 func openCell(o Options, onCrash func(string, error)) (*cell, error) {
-	c := &cell{
-		network: 10 + os.Getpid()%200, directory: o.Directory,
-		store: platformstandin.NewRows(), monitor: &workerstandin.Monitor{},
-	}
-	for _, open := range []func(Options) error{c.startServices, c.startWorkers, c.openHosts} {
+	c := &cell{directory: o.Directory, store: platformstandin.NewRows(), monitor: &workerstandin.Monitor{}}
+	for _, open := range []func(Options) error{c.reserveNetwork, c.startServices, c.startWorkers, c.openHosts} {
 		if err := open(o); err != nil {
 			c.close()
 			return nil, err
@@ -83,6 +86,18 @@
 	return c, nil
 }
 
+// reserveNetwork chooses a network that no other run uses.
+func (c *cell) reserveNetwork(Options) error {
+	var err error
+	for n := range networkCount {
+		c.network = firstNetwork + (os.Getpid()+n)%networkCount
+		if c.reservation, err = net.Listen("tcp", c.address(realView, reservedNumber, callerPort)); err == nil {
+			return nil
+		}
+	}
+	return errors.Annotate(err, "no free network")
+}
+
 func (c *cell) startServices(Options) error {
 	var err error
 	if c.adviceAddress, err = c.serve("127.0.0.1:0", workerstandin.Advisor()); err != nil {
@@ -242,4 +257,7 @@
 		// The stand-ins have no data to save, so a graceful shutdown is not needed.
 		_ = s.Close()
 	}
+	if c.reservation != nil {
+		c.reservation.Close()
+	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,3 +47,21 @@
 		t.Errorf("seed %d: %s at %s: %s; the report is %s", seed, report.Violation.Rule, report.Violation.At, report.Violation.Text, path)
 	}
 }
+
+// Guards against two runs on the same addresses, of which the second can't be made.
+func TestRunsAtTheSameTime(t *testing.T) {
+	errs := make(chan error)
+	for seed := range uint64(2) {
+		directory := t.TempDir()
+		go func() {
+			_, err := soak.Run(context.Background(), soak.Options{
+				Seed: seed, Length: time.Second, Hosts: 1, Workers: 1, Callers: 1,
+				Program: []string{os.Args[0], "front"}, Directory: directory,
+			})
+			errs <- err
+		}()
+	}
+	for range 2 {
+		qt.Check(t, <-errs, qt.IsNil)
+	}
+}
