--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -136,6 +136,9 @@
 // MayGiveOrders calls mayGiveOrders.
 func (o *Owner) MayGiveOrders(now time.Duration) bool { return o.mayGiveOrders(now) }
 
+// Prune calls prune.
+func (o *Owner) Prune(now time.Duration) { o.prune(now) }
+
 // AnnounceWorker applies the announcement of a worker.
 func (o *Owner) AnnounceWorker(now time.Duration, w workload.Worker) {
 	o.cell.HandleAnnouncement(now, w)
@@ -147,8 +150,21 @@
 // SyncSessions calls syncSessions.
 func (o *Owner) SyncSessions(ctx context.Context) { o.syncSessions(ctx) }
 
-// ApplyWorkerList calls applyWorkerList.
-func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) { o.applyWorkerList(now, rows) }
+// ApplyWorkerList applies a list of rows of the worker table.
+func (o *Owner) ApplyWorkerList(now time.Duration, rows []ledger.Row) {
+	o.applyWorkerList(now, o.decodeAnnouncements(rows))
+}
+
+// ApplyWorkerRow applies a change of a row of the worker table.
+func (o *Owner) ApplyWorkerRow(now time.Duration, r ledger.Row) {
+	o.applyAnnouncement(now, o.decodeAnnouncement(r))
+}
+
+// RejectionLog exports rejectionLog.
+type RejectionLog = rejectionLog
+
+// Allow calls allow.
+func (l *rejectionLog) Allow(now time.Duration, key string) (bool, int) { return l.allow(now, key) }
 
 // RemoveMissing calls removeMissing.
 func (o *Owner) RemoveMissing(now time.Duration) { o.removeMissing(now) }
@@ -199,3 +215,45 @@
 
 // RecoverLearned calls recoverLearned.
 func (o *Owner) RecoverLearned(ctx context.Context) error { return o.recoverLearned(ctx) }
+
+// AddChanges calls addChanges.
+func (o *Owner) AddChanges(changes []cell.Change) { o.addChanges(changes) }
+
+// BeginCommit starts a transaction that the test applies to a store, and returns its changes.
+func (o *Owner) BeginCommit(now time.Duration) ([]ledger.Change, error) {
+	o.queueNewJobReplies()
+	changes, err := o.records.drainChanges()
+	o.inFlightEffects, o.pendingEffects = o.pendingEffects, nil
+	o.unconfirmedInFlight, o.unconfirmed = o.unconfirmed, nil
+	o.committing = true
+	o.inFlightSince.Store(int64(now))
+	return changes, err
+}
+
+// CompleteCommit calls completeCommit.
+func (o *Owner) CompleteCommit() { o.completeCommit() }
+
+// HasChanges reports whether a transaction is due.
+func (o *Owner) HasChanges() bool {
+	return !o.records.isClean() || len(o.pendingEffects) > 0 || len(o.newJobReplies) > 0 || len(o.unconfirmed) > 0
+}
+
+// RestoreJobs restores the jobs in the rows that an earlier owner wrote.
+func (o *Owner) RestoreJobs(now, orderDeadline time.Duration, rows []ledger.Row) error {
+	if err := o.records.Load(rows...); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Table != ledger.JobTable {
+			continue
+		}
+		jobs, err := o.records.jobs.load(r)
+		if err != nil {
+			return err
+		}
+		for _, job := range jobs {
+			o.restoreJob(now, orderDeadline, job)
+		}
+	}
+	return nil
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -78,6 +78,10 @@
 	recordingJobs map[string]bool
 	// pendingFinal holds the jobs whose final state has not been recorded yet.
 	pendingFinal map[string]bool
+	// unconfirmed holds the callers that asked for unknown jobs since the transaction in
+	// flight began, and unconfirmedInFlight those from before. They are told so once the next
+	// transaction, or the one in flight, succeeds.
+	unconfirmed, unconfirmedInFlight []func(intake.Reply)
 	// pendingEffects holds what to do once the transaction after the one in flight
 	// succeeds.
 	pendingEffects []func()
@@ -110,6 +114,8 @@
 	// started.
 	resigned  bool
 	lastPrune time.Duration
+	// rejections is used by recover, and then by the watch of the workers.
+	rejections rejectionLog
 	// lastLearned is when a transaction last recorded what the cell has learned.
 	lastLearned time.Duration
 	// lastLoadLog is when the load was last logged.
