--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -161,6 +161,13 @@
 		}
 	})
 	d.await("an owner", func() bool { return d.owner() != nil })
+	// The owner may be ready before other processes listen.
+	for _, h := range d.hosts {
+		d.await(h.name+" listens", func() bool {
+			status, _ := d.call(h, http.MethodGet, path("none", 0), "")
+			return status != 0
+		})
+	}
 	return d
 }
 
