--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -95,6 +95,8 @@
 	store Store
 	cell  string
 	owner string
+	// now is the clock, which includes suspensions.
+	now func() time.Duration
 	// incarnation and the fencing token make transaction IDs unique; a process may
 	// acquire the cell several times.
 	incarnation string
@@ -118,11 +120,15 @@
 // error is ErrNotOwner if another member has the cell in a different or later tenure. A
 // cell of the named member itself, held by an earlier process, can always be acquired.
 func Acquire(ctx context.Context, store Store, cell, owner, incarnation string, earlier Lease) (*Ledger, error) {
+	return acquire(ctx, clock.Now, store, cell, owner, incarnation, earlier)
+}
+
+func acquire(ctx context.Context, now func() time.Duration, store Store, cell, owner, incarnation string, earlier Lease) (*Ledger, error) {
 	page, err := store.Rows(ctx, HeadTable, cell, headKey, 1)
 	if err != nil {
 		return nil, errors.Annotatef(err, "reading head row of cell %s", cell)
 	}
-	l := &Ledger{store: store, cell: cell, owner: owner, incarnation: incarnation}
+	l := &Ledger{store: store, cell: cell, owner: owner, incarnation: incarnation, now: now}
 	h, version, err := decodeHead(page.Rows)
 	if err != nil {
 		return nil, errors.Annotatef(err, "cell %s", cell)
@@ -200,7 +206,7 @@
 		return err
 	}
 	pause := minRetryPause
-	begun := clock.Now()
+	begun := l.now()
 	for {
 		version, err := l.tryCommit(ctx, t, id)
 		if err == nil {
@@ -244,7 +250,7 @@
 func (l *Ledger) confirm(begun time.Duration, version Version) {
 	l.version = version
 	l.ownedAt.Store(int64(begun))
-	l.lastCommit.Store(int64(clock.Now()))
+	l.lastCommit.Store(int64(l.now()))
 }
 
 // committedVersion returns the version of the head row, and reports whether the given
@@ -282,7 +288,7 @@
 		Expected: []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Version: l.version}},
 		Writes:   []Row{{Table: HeadTable, Part: l.cell, Key: headKey, Value: headValue}},
 	}
-	if now := clock.Now(); owner == "" || now-l.lastRenewal >= minRenewalInterval || l.lastRenewal == 0 {
+	if now := l.now(); owner == "" || now-l.lastRenewal >= minRenewalInterval || l.lastRenewal == 0 {
 		l.lastRenewal = now
 		l.renewalCount++
 		leaseValue, err := codec.Marshal(Lease{Owner: owner, Fence: l.fence, Renewal: l.renewalCount})
