cell, scheduler, ledger: records of large jobs fit rows of the store

What callers saw: after a job of 60 tasks that was due 70 times, with checkpoints, nothing of any job was recorded any more; 2,880 of its 4,200 tasks were done, and jobs that were accepted later never ran, under any owner.

Cause: the progress of a job was one value in one row. It held the checkpoints of tasks that are done as well, and grew to 81,818 bytes, where a row holds 65,536. The store rejected the transaction, which ended the tenure, and each next owner built the same row.

The progress is recorded in parts of 32 tasks, of which a transaction writes those that have changed, without the checkpoints of tasks that are done. Checkpoints of over 512 bytes are ignored. What is learned about queues is divided over rows too. A row that the store rejects all the same is set apart and logged, and all else goes on being recorded. The stand-in of the store rejects what the platform's store rejects.

Why it works: the largest record of an admitted job takes less than a row for each part, whatever its tasks, occurrences and worker IDs; and no row can end a tenure by itself.

--- a/cell/job.go
+++ b/cell/job.go
@@ -86,6 +86,14 @@
 	return !t.done && len(t.runs) == 0 && now >= t.notBefore
 }
 
+// saveCheckpoint keeps a checkpoint that a run has reported. One that is too long for the record
+// is ignored, so that the task resumes from an earlier one.
+func (t *taskRecord) saveCheckpoint(checkpoint string) {
+	if checkpoint != "" && len(checkpoint) <= MaxCheckpointBytes {
+		t.checkpoint = checkpoint
+	}
+}
+
 // Submit adds a job, which is accepted once it is recorded. It reports false if the job is
 // known already.
 func (c *Cell) Submit(now time.Duration, w workload.Job) bool {
--- a/cell/learned.go
+++ b/cell/learned.go
@@ -1,6 +1,11 @@
 package cell
 
-import "math"
+import (
+	"iter"
+	"maps"
+	"math"
+	"slices"
+)
 
 // Learned is what a cell has learned about its queues, by name. An owner passes it on to the
 // next one, which would otherwise go by declared estimates until enough work has ended again.
@@ -24,6 +29,51 @@
 	return ok
 }
 
+// maxLearnedBytes bounds the encoded size of what is learned about one queue, without its name,
+// which is in each of the three maps.
+const maxLearnedBytes = 128
+
+// Split divides what was learned, so that each piece takes no more than the given number of
+// bytes when it is encoded. A queue whose name is too long for a piece is left out: what it
+// needs is learned again.
+func (l Learned) Split(maxBytes int) []Learned {
+	names := map[string]bool{}
+	for _, queues := range []iter.Seq[string]{maps.Keys(l.Durations), maps.Keys(l.Speeds), maps.Keys(l.EligibleRatios)} {
+		for name := range queues {
+			names[name] = true
+		}
+	}
+	pieces, size := []Learned{newLearned()}, 0
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		added := maxLearnedBytes + 3*len(name)
+		if added > maxBytes {
+			continue
+		}
+		if size += added; size > maxBytes {
+			pieces, size = append(pieces, newLearned()), added
+		}
+		pieces[len(pieces)-1].addQueue(name, l)
+	}
+	return pieces
+}
+
+func newLearned() Learned {
+	return Learned{Durations: map[string]DurationModel{}, Speeds: map[string]QueueSpeed{}, EligibleRatios: map[string]float64{}}
+}
+
+// addQueue adds what another value holds about a queue.
+func (l Learned) addQueue(name string, from Learned) {
+	if m, ok := from.Durations[name]; ok {
+		l.Durations[name] = m
+	}
+	if q, ok := from.Speeds[name]; ok {
+		l.Speeds[name] = q
+	}
+	if ratio, ok := from.EligibleRatios[name]; ok {
+		l.EligibleRatios[name] = ratio
+	}
+}
+
 // RestoreLearned adds what an earlier owner learned. Values that no owner can have learned are
 // ignored.
 func (c *Cell) RestoreLearned(l Learned) {
--- a/cell/record.go
+++ b/cell/record.go
@@ -14,6 +14,9 @@
 	Occurrence int            `cbor:"1,keyasint,omitempty"`
 	Step       int            `cbor:"2,keyasint,omitempty"`
 	Tasks      []TaskProgress `cbor:"3,keyasint"`
+	// First is the index of the first of Tasks; it differs from 0 only in a part of the
+	// progress.
+	First int `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskProgress is the progress of one task.
@@ -21,8 +24,9 @@
 	_    struct{} `cbor:",toarray"`
 	Done bool
 	// Run is the highest run number of the task.
-	Run        int
-	Failures   int
+	Run      int
+	Failures int
+	// Checkpoint is "" for a task that is done, which needs none.
 	Checkpoint string
 	Runs       []RunProgress
 }
@@ -83,7 +87,10 @@
 func (s *step) progress() StepProgress {
 	p := StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Tasks: make([]TaskProgress, len(s.tasks))}
 	for i, t := range s.tasks {
-		p.Tasks[i] = TaskProgress{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
+		p.Tasks[i] = TaskProgress{Done: t.done, Run: t.lastRun, Failures: t.failures}
+		if !t.done {
+			p.Tasks[i].Checkpoint = t.checkpoint
+		}
 		for _, r := range t.runs {
 			p.Tasks[i].Runs = append(p.Tasks[i].Runs, RunProgress{Run: r.number, Worker: r.worker.ID, Life: r.worker.Life})
 		}
--- a/cell/report.go
+++ b/cell/report.go
@@ -94,9 +94,7 @@
 
 // applyEnd updates the task, the worker and the usual speeds after the end of a run.
 func (c *Cell) applyEnd(now time.Duration, w *worker, s *step, t *taskRecord, e EndedRun, r *run) {
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	t.saveCheckpoint(e.Checkpoint)
 	switch e.Outcome {
 	case EndedDone:
 		w.failureScore = 0
@@ -245,8 +243,8 @@
 	if l.Percent != r.percent {
 		r.percent, r.progressedAt = l.Percent, now
 	}
-	if s, t := c.findTask(r.id); s != nil && l.Checkpoint != "" && r.number == t.lastRun {
-		t.checkpoint = l.Checkpoint
+	if s, t := c.findTask(r.id); s != nil && r.number == t.lastRun {
+		t.saveCheckpoint(l.Checkpoint)
 	}
 }
 
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -37,6 +37,8 @@
 		c.withdrawAll(now, j.openRuns(), "the job is "+string(j.state))
 		c.markChanged(j)
 	}
+	// The end of the last task may have been recorded without that of the job.
+	c.finishIfDone(now, j)
 	c.stale = true
 }
 
@@ -61,6 +63,10 @@
 			c.restoreRun(now, bound, s, record, r)
 		}
 	}
+	if s.Gang && s.remaining < len(s.tasks) {
+		// Its tasks end together, and their records may have been written in parts.
+		c.markDone(now, s, s.tasks[0])
+	}
 }
 
 func (c *Cell) restoreRun(now, bound time.Duration, s *step, t *taskRecord, p RunProgress) {
--- a/front/serve.go
+++ b/front/serve.go
@@ -113,6 +113,7 @@
 	line("carried_batches_total", h.relay.Batches.Load())
 	line("fenced_total", h.counters.Fenced.Load())
 	line("events_dropped_total", h.counters.EventsDropped.Load())
+	line("rejected_rows_total", h.counters.RejectedRows.Load())
 	line("store_calls_total", h.store.Calls.Load())
 	line("takeovers_total", h.takeovers.Load())
 	line("heap_bytes", memory.HeapAlloc)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -157,30 +157,69 @@
 func (l *Ledger) Fence() int64 { return l.fence }
 
 // Append records changes and renews the lease. It retries until the changes are recorded,
-// the context ends, or the cell is lost.
+// the context ends, or the cell is lost. If the store rejects some of the changes for good, the
+// others are recorded all the same, and the error is a *RejectedError.
 func (l *Ledger) Append(ctx context.Context, changes []Change) error {
+	var rejected []Change
 	for {
 		n := batchLength(changes)
-		if err := l.commit(ctx, l.owner, changes[:n]); err != nil {
+		some, err := l.commitBatch(ctx, changes[:n])
+		if err != nil {
 			return err
 		}
+		rejected = append(rejected, some...)
 		if changes = changes[n:]; len(changes) == 0 {
-			return nil
+			return rejectedError(rejected)
 		}
 	}
 }
 
-// Resign records changes and releases the cell, so that another member can acquire it.
+// Resign records changes and releases the cell, so that another member can acquire it. Changes
+// that the store rejects are handled as by Append.
 func (l *Ledger) Resign(ctx context.Context, changes []Change) error {
-	n := 0
-	for batchLength(changes[n:]) < len(changes)-n {
-		size := batchLength(changes[n:])
-		if err := l.commit(ctx, l.owner, changes[n:n+size]); err != nil {
+	var rejected []Change
+	for batchLength(changes) < len(changes) {
+		n := batchLength(changes)
+		some, err := l.commitBatch(ctx, changes[:n])
+		if err != nil {
 			return err
 		}
-		n += size
+		rejected, changes = append(rejected, some...), changes[n:]
+	}
+	err := l.commit(ctx, "", changes)
+	if errors.Is(err, ErrRejected) && len(changes) > 0 {
+		some, appendErr := l.commitBatch(ctx, changes)
+		if appendErr != nil {
+			return errors.Annotatef(appendErr, "releasing cell %s", l.cell)
+		}
+		rejected = append(rejected, some...)
+		err = l.commit(ctx, "", nil)
+	}
+	if err != nil {
+		return errors.Annotatef(err, "releasing cell %s", l.cell)
+	}
+	return rejectedError(rejected)
+}
+
+// commitBatch records changes that fit one transaction. If the store rejects it, the changes
+// are recorded in smaller transactions, and those that are rejected by themselves are returned.
+func (l *Ledger) commitBatch(ctx context.Context, changes []Change) (rejected []Change, err error) {
+	err = l.commit(ctx, l.owner, changes)
+	switch {
+	case !errors.Is(err, ErrRejected) || len(changes) == 0:
+		return nil, err
+	case len(changes) == 1:
+		// If the store rejects a renewal too, the change is not the cause.
+		return changes, l.commit(ctx, l.owner, nil)
+	}
+	for _, half := range [][]Change{changes[:len(changes)/2], changes[len(changes)/2:]} {
+		some, err := l.commitBatch(ctx, half)
+		if err != nil {
+			return nil, err
+		}
+		rejected = append(rejected, some...)
 	}
-	return errors.Annotatef(l.commit(ctx, "", changes[n:]), "releasing cell %s", l.cell)
+	return rejected, nil
 }
 
 // batchLength returns how many of the changes fit one transaction; at least one if there
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -62,6 +62,23 @@
 	return fmt.Sprintf("transaction conflict on %d expected rows", len(e.Rows))
 }
 
+// RejectedError is the error of changes that the store rejects for good. All other changes of
+// the same call are recorded.
+type RejectedError struct{ Changes []Change }
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("store rejected %d changes", len(e.Changes))
+}
+
+// rejectedError returns a *RejectedError for the given changes, or nil without any.
+func rejectedError(changes []Change) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	return &RejectedError{Changes: changes}
+}
+
 // Store is the platform's table.
 type Store interface {
 	// Commit executes a transaction and returns its version. The error is a
--- a/platformstandin/rows.go
+++ b/platformstandin/rows.go
@@ -13,6 +13,15 @@
 	"github.com/go-chi/chi/v5"
 )
 
+// Limits of the store, according to its protocol and the settings of all deployments. A row's
+// value is limited in its encoding, the stricter reading of the protocol.
+const (
+	maxEncodedRowBytes  = 65536
+	maxTransactionRows  = 100
+	maxTransactionBytes = 1 << 20
+	maxNameBytes        = 200
+)
+
 // RowFaults configures the faults that Rows injects. The zero value injects none.
 type RowFaults struct {
 	// Down makes the store answer every call with 503, without executing it.
@@ -125,7 +134,8 @@
 		Writes   []wireRow `json:"writes"`
 		Remove   []wireRow `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expected)+len(t.Writes)+len(t.Remove) > 100 {
+	body := http.MaxBytesReader(w, r.Body, maxTransactionBytes)
+	if err := json.NewDecoder(body).Decode(&t); err != nil || len(t.Expected)+len(t.Writes)+len(t.Remove) > maxTransactionRows || !withinLimits(t.Writes) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -149,6 +159,16 @@
 	s.respond(w, http.StatusOK, nil, false)
 }
 
+// withinLimits reports whether the store accepts all rows of a transaction.
+func withinLimits(rows []wireRow) bool {
+	for _, r := range rows {
+		if len(r.Value) > maxEncodedRowBytes || max(len(r.Table), len(r.Part), len(r.Key)) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
+
 // apply executes a transaction and wakes waiting feeds. The caller holds s.mu.
 func (s *Rows) apply(writes, removes []wireRow) {
 	s.version++
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -6,7 +6,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/intake"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -61,10 +63,10 @@
 		return
 	}
 	if o.recordingJobs[c.ID] {
-		o.inFlightEffects = append(o.inFlightEffects, acceptance(reply))
+		o.inFlightEffects = append(o.inFlightEffects, o.acceptance(reply, jobRecord{ledger.JobTable, c.ID}, jobRecord{ledger.FinishedTable, c.ID}))
 		return
 	}
-	acceptance(reply)()
+	reply(intake.Reply{Outcome: intake.Accepted})
 }
 
 // isSubmitted reports whether a submission of a job has been accepted.
@@ -95,12 +97,16 @@
 // transaction.
 func (o *Owner) markPendingFinal(id string) {
 	o.pendingFinal[id] = true
-	o.pendingEffects = append(o.pendingEffects, func() { delete(o.pendingFinal, id) })
+	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() { delete(o.pendingFinal, id) }})
 }
 
-// acceptance returns an effect that replies to a call with Accepted.
-func acceptance(reply func(intake.Reply)) func() {
-	return func() { reply(intake.Reply{Outcome: intake.Accepted}) }
+// acceptance returns an effect that replies to a call with Accepted, if the records that make it
+// last have been written.
+func (o *Owner) acceptance(reply func(intake.Reply), needs ...jobRecord) effect {
+	return effect{
+		needs: needs, run: func() { reply(intake.Reply{Outcome: intake.Accepted}) },
+		skip: func() { o.refuseUnavailable(clock.Now(), reply) },
+	}
 }
 
 // refuseUnavailable refuses a call that needs a transaction and has had no effect, because
@@ -123,7 +129,7 @@
 	for id, replies := range o.newJobReplies {
 		o.recordingJobs[id] = true
 		for _, reply := range replies {
-			o.pendingEffects = append(o.pendingEffects, acceptance(reply))
+			o.pendingEffects = append(o.pendingEffects, o.acceptance(reply, jobRecord{ledger.JobTable, id}, jobRecord{ledger.FinishedTable, id}))
 		}
 	}
 	o.newJobReplies = map[string][]func(intake.Reply){}
@@ -203,7 +209,7 @@
 	if o.isSubmitted(c.ID) {
 		// A job that is final stays as it is.
 		o.cell.Cancel(now, c.ID)
-		o.pendingEffects = append(o.pendingEffects, acceptance(reply))
+		o.pendingEffects = append(o.pendingEffects, o.acceptance(reply, jobRecord{ledger.FinishedTable, c.ID}))
 		return
 	}
 	if !o.records.isPreCancelled(c.ID) {
@@ -221,5 +227,7 @@
 			"job": c.ID, "host": from, "fence": o.Fence(), "owned_ms": (now - o.ledger.OwnedAt()).Milliseconds(),
 		}).Info("scheduler: cancelled job not known")
 	}
-	o.pendingEffects = append(o.pendingEffects, func() { reply(intake.Reply{Outcome: intake.NotFound}) })
+	o.pendingEffects = append(o.pendingEffects, effect{
+		needs: []jobRecord{{ledger.FinishedTable, c.ID}}, run: func() { reply(intake.Reply{Outcome: intake.NotFound}) }, skip: func() { o.refuseUnavailable(clock.Now(), reply) },
+	})
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -88,14 +88,14 @@
 	return append(changes, learned...), nil
 }
 
-// completeCommit runs the effects that waited for the transaction that has just
-// succeeded.
-func (o *Owner) completeCommit() {
+// completeCommit runs the effects that waited for the transaction that has just succeeded, but
+// for those of jobs that it did not record.
+func (o *Owner) completeCommit(unrecorded map[jobRecord]bool) {
 	o.observeCommitTime(clock.Now() - o.commitStart)
 	o.committing = false
 	o.inFlightSince.Store(0)
-	for _, effect := range o.inFlightEffects {
-		effect()
+	for _, e := range o.inFlightEffects {
+		e.apply(unrecorded)
 	}
 	confirmUnknown(o.unconfirmedInFlight)
 	o.inFlightEffects, o.unconfirmedInFlight, o.recordingJobs = nil, nil, nil
@@ -158,10 +158,11 @@
 // resign records the remaining changes and releases the cell.
 func (o *Owner) resign(ctx context.Context) error {
 	if o.committing {
-		if err := <-o.commitResults; err != nil {
+		unrecorded, err := o.setApartRejected(<-o.commitResults)
+		if err != nil {
 			return err
 		}
-		o.completeCommit()
+		o.completeCommit(unrecorded)
 	}
 	o.dispatch(ctx)
 	o.queueNewJobReplies()
@@ -170,12 +171,13 @@
 		return err
 	}
 	effects := o.pendingEffects
-	if err := o.ledger.Resign(ctx, changes); err != nil {
+	unrecorded, err := o.setApartRejected(o.ledger.Resign(ctx, changes))
+	if err != nil {
 		return err
 	}
 	o.resigned = true
-	for _, effect := range effects {
-		effect()
+	for _, e := range effects {
+		e.apply(unrecorded)
 	}
 	confirmUnknown(o.unconfirmed)
 	return nil
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -9,7 +9,9 @@
 // Counters counts what owners on this host do. The zero value is ready to use.
 type Counters struct {
 	// UnknownCancels counts cancellations of jobs that the owner does not know.
-	UnknownCancels                                                 atomic.Int64
+	UnknownCancels atomic.Int64
+	// RejectedRows counts rows that the store has rejected for good.
+	RejectedRows                                                   atomic.Int64
 	Accepted, Refused, Starts, Stops, Holds, Fenced, EventsDropped atomic.Int64
 	// Commit is the duration of transactions, Order that of start orders.
 	Commit, Order metric.Histogram
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -7,6 +7,7 @@
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
+	"github.com/vanillaquay/vanillaquay/ledger"
 )
 
 const (
@@ -47,10 +48,11 @@
 			o.logLoad(clock.Now())
 		case <-wake.C:
 		case err := <-o.commitResults:
+			unrecorded, err := o.setApartRejected(err)
 			if err != nil {
 				return err
 			}
-			o.completeCommit()
+			o.completeCommit(unrecorded)
 		}
 		now := clock.Now()
 		if c := o.catalogue.Swap(nil); c != nil {
@@ -121,7 +123,9 @@
 	o.logEntries(entries)
 	o.addChanges(changes)
 	for _, s := range actions.Starts {
-		o.pendingEffects = append(o.pendingEffects, func() { o.enqueueStart(s) })
+		o.pendingEffects = append(o.pendingEffects, effect{
+			needs: []jobRecord{{ledger.JobTable, s.Task.Job}, {ledger.ProgressTable, s.Task.Job}}, run: func() { o.enqueueStart(s) }, skip: func() { o.cell.HandleUnsentStart(clock.Now(), s) },
+		})
 	}
 	for _, s := range actions.Stops {
 		o.enqueueStop(s)
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -231,7 +231,7 @@
 }
 
 // CompleteCommit calls completeCommit.
-func (o *Owner) CompleteCommit() { o.completeCommit() }
+func (o *Owner) CompleteCommit() { o.completeCommit(nil) }
 
 // HasChanges reports whether a transaction is due.
 func (o *Owner) HasChanges() bool {
@@ -257,3 +257,39 @@
 	}
 	return nil
 }
+
+// EndCommit ends a transaction of which the store has rejected some changes.
+func (o *Owner) EndCommit(rejected []ledger.Change) error {
+	var result error
+	if len(rejected) > 0 {
+		result = &ledger.RejectedError{Changes: rejected}
+	}
+	unrecorded, err := o.setApartRejected(result)
+	if err == nil {
+		o.completeCommit(unrecorded)
+	}
+	return err
+}
+
+// Effect exports effect.
+type Effect = effect
+
+// NewEffect returns an effect that needs one record.
+func NewEffect(table, job string, run, skip func()) Effect {
+	return effect{needs: []jobRecord{{table, job}}, run: run, skip: skip}
+}
+
+// Apply calls apply after a transaction that did not write one record.
+func (e effect) Apply(table, job string) { e.apply(map[jobRecord]bool{{table, job}: true}) }
+
+// LearnedChanges returns the rows to write and to remove for what the cell has learned.
+func (o *Owner) LearnedChanges(now time.Duration) (written, removed []ledger.Row, err error) {
+	changes, err := o.learnedChange(now)
+	for _, c := range changes {
+		written, removed = append(written, c.Writes...), append(removed, c.Removes...)
+	}
+	return written, removed, err
+}
+
+// AddEffect adds an effect of the next transaction.
+func (o *Owner) AddEffect(e Effect) { o.pendingEffects = append(o.pendingEffects, e) }
--- a/scheduler/job_page.go
+++ b/scheduler/job_page.go
@@ -123,6 +123,20 @@
 	return changes
 }
 
+// reject forgets a row that the store does not accept, and returns its jobs.
+func (p *jobPages) reject(key string) []string {
+	page := p.pages[key]
+	if page == nil {
+		return nil
+	}
+	for _, id := range page.jobs {
+		delete(p.rowKeys, id)
+	}
+	delete(p.pages, key)
+	p.removals = slices.DeleteFunc(p.removals, func(other string) bool { return other == key })
+	return page.jobs
+}
+
 // load reads a row that an earlier owner wrote, and returns its jobs.
 func (p *jobPages) load(r ledger.Row) ([]workload.Job, error) {
 	var jobs []workload.Job
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -84,9 +84,9 @@
 	unconfirmed, unconfirmedInFlight []func(intake.Reply)
 	// pendingEffects holds what to do once the transaction after the one in flight
 	// succeeds.
-	pendingEffects []func()
+	pendingEffects []effect
 	// inFlightEffects holds what to do once the transaction in flight succeeds.
-	inFlightEffects []func()
+	inFlightEffects []effect
 	committing      bool
 	commitResults   chan error
 	// commitStart is the start time of the latest transaction.
@@ -116,8 +116,10 @@
 	lastPrune time.Duration
 	// rejections is used by recover, and then by the watch of the workers.
 	rejections rejectionLog
-	// lastLearned is when a transaction last recorded what the cell has learned.
+	// lastLearned is when a transaction last recorded what the cell has learned, and learned is
+	// what it wrote.
 	lastLearned time.Duration
+	learned     learnedRows
 	// lastLoadLog is when the load was last logged.
 	lastLoadLog time.Duration
 	// resigning is closed once the owner has been asked to release the cell.
@@ -131,6 +133,7 @@
 		options: options, ledger: l, store: store, workers: workers, machines: machines, members: members, log: log, counters: counters,
 		events: ring.New[event](maxQueuedEvents), cell: cell.New(options.CellOptions), sessions: map[string]*workerSession{}, ramp: newWorkerRamp(),
 		records:       newRecords(options.Cell),
+		learned:       learnedRows{},
 		waves:         waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](maxQueuedStatuses)},
 		newJobReplies: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, commitResults: make(chan error, 1), tenureStart: clock.Now(), resigning: make(chan struct{}), superseded: make(chan struct{}),
 	}
--- a/scheduler/paged_table.go
+++ b/scheduler/paged_table.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
@@ -23,6 +24,10 @@
 	// rowOverheadBytes is the cost of a page in addition to the size of its value. It
 	// keeps the number of pages low when pages are small.
 	rowOverheadBytes = 4 << 10
+	// maxAtomicPages and maxAtomicBytes bound the new pages that are written together, in one
+	// transaction, with the removal of old ones. Few transactions have more.
+	maxAtomicPages = 64
+	maxAtomicBytes = 400 << 10
 	// maxCompactedPages bounds the pages that one transaction removes from a table. Both
 	// tables together use at most 16 of the store's 100 rows per transaction.
 	maxCompactedPages = 8
@@ -42,6 +47,10 @@
 	pages []page
 	// lastPage is the number of the newest page.
 	lastPage uint64
+	// isolated holds the jobs of a page that the store has rejected: each is written to a page
+	// of its own, so that it is known which one is the cause. rejected holds those whose own
+	// page was rejected, which are not written again.
+	isolated, rejected map[string]bool
 	// storedBytes is the sum of the costs of all pages, liveBytes the size of all
 	// entries.
 	storedBytes, liveBytes int
@@ -110,10 +119,19 @@
 	}
 	olderPages := len(b.pages)
 	d := pageWriter{lastPage: b.lastPage}
-	for _, id := range slices.Sorted(maps.Keys(b.dirty)) {
+	atomic := true
+	// Of the parts of a job the first is written last: it may have been the only one before.
+	for _, id := range slices.Backward(slices.Sorted(maps.Keys(b.dirty))) {
+		if b.isolated[id] {
+			atomic = false
+			d.close()
+		}
 		if err := b.appendEntry(&d, id); err != nil {
 			return nil, errors.Annotatef(err, "table %s", b.table)
 		}
+		if b.isolated[id] {
+			d.close()
+		}
 	}
 	b.dirty = nil
 	removed := b.compact(&d, olderPages)
@@ -130,20 +148,72 @@
 		changes = append(changes, ledger.Change{Removes: []ledger.Row{row}})
 	}
 	b.lastPage = d.lastPage
+	if atomic && len(d.pages) <= maxAtomicPages && d.totalSize <= maxAtomicBytes {
+		return mergeChanges(changes), nil
+	}
 	return changes, nil
 }
 
-// appendEntry adds the current value of a job, or a tombstone, to the new pages.
+// mergeChanges returns a single change with all the given ones.
+func mergeChanges(changes []ledger.Change) []ledger.Change {
+	if len(changes) < 2 {
+		return changes
+	}
+	var merged ledger.Change
+	for _, c := range changes {
+		merged.Writes = append(merged.Writes, c.Writes...)
+		merged.Removes = append(merged.Removes, c.Removes...)
+	}
+	return []ledger.Change{merged}
+}
+
+// reject notes that the store does not accept a page, and returns the jobs whose changes are
+// not recorded. They are written again, each by itself; one that was written by itself is not.
+func (b *pagedTable[T]) reject(key string) []string {
+	n := slices.IndexFunc(b.pages, func(p page) bool { return p.key == key })
+	if n < 0 {
+		return nil
+	}
+	rejected := b.pages[n]
+	b.pages = slices.Delete(b.pages, n, n+1)
+	b.storedBytes -= rejected.cost
+	if b.isolated == nil {
+		b.isolated, b.rejected = map[string]bool{}, map[string]bool{}
+	}
+	for _, id := range rejected.jobs {
+		if e, ok := b.entries[id]; ok && e.page == key {
+			b.liveBytes -= itemSize(id, e.data)
+			e.data, e.page = nil, ""
+			b.entries[id] = e
+		}
+		if len(rejected.jobs) == 1 {
+			b.rejected[id] = true
+			continue
+		}
+		b.isolated[id] = true
+		b.markDirty(id)
+	}
+	return rejected.jobs
+}
+
+// appendEntry adds the current value of a job, or a tombstone, to the new pages, unless it is
+// recorded as it is.
 func (b *pagedTable[T]) appendEntry(d *pageWriter, id string) error {
 	e, ok := b.entries[id]
 	if !ok {
 		d.add(id, []byte{codec.Null})
 		return nil
 	}
+	if b.rejected[id] {
+		return nil
+	}
 	data, err := codec.Marshal(e.value)
 	if err != nil {
 		return errors.Annotatef(err, "encoding job %s", id)
 	}
+	if e.page != "" && bytes.Equal(data, e.data) {
+		return nil
+	}
 	b.liveBytes += itemSize(id, data) - itemSize(id, e.data)
 	e.data, e.page = data, d.add(id, data)
 	b.entries[id] = e
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -39,7 +39,7 @@
 // there is time, and its entry in finished is removed only after that row.
 type records struct {
 	part     string
-	progress pagedTable[cell.Progress]
+	progress progressTable
 	finished pagedTable[finished]
 	jobs     *jobPages
 	// preCancelledCount is the number of jobs in the state preCancelled, and may include some
@@ -51,7 +51,7 @@
 
 func newRecords(part string) *records {
 	r := &records{part: part, jobs: newJobPages(part)}
-	r.progress.table, r.finished.table = ledger.ProgressTable, ledger.FinishedTable
+	r.progress.table.table, r.finished.table = ledger.ProgressTable, ledger.FinishedTable
 	return r
 }
 
@@ -61,7 +61,7 @@
 		r.jobs.addJob(c.Job)
 	}
 	if !c.Progress.Closed() {
-		r.progress.set(c.Job.ID, c.Progress)
+		r.progress.set(c.Job, c.Progress)
 	}
 	if !c.Progress.State.Final() {
 		return
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -36,8 +36,8 @@
 		jobs, _, err = ledger.ReadAll(readContext, o.store, ledger.JobTable, o.options.Cell)
 		return err
 	})
-	reads.Go(func() error { return recoverTable(readContext, o, &o.records.finished) })
-	reads.Go(func() error { return recoverTable(readContext, o, &o.records.progress) })
+	reads.Go(func() error { return o.recoverTable(readContext, ledger.FinishedTable, o.records.finished.load) })
+	reads.Go(func() error { return o.recoverTable(readContext, ledger.ProgressTable, o.records.progress.load) })
 	reads.Go(func() error { return o.recoverWaves(readContext) })
 	reads.Go(func() error { return o.recoverLearned(readContext) })
 	if err := reads.Wait(); err != nil {
@@ -69,6 +69,7 @@
 	progress, hasProgress := o.records.progress.get(job.ID)
 	f, final := o.records.finished.get(job.ID)
 	if final && (!hasProgress || progress.Closed()) {
+		o.records.progress.remove(job.ID)
 		o.records.jobs.markClosed(job.ID)
 		return
 	}
@@ -79,12 +80,12 @@
 }
 
 // recoverTable loads one table.
-func recoverTable[T any](ctx context.Context, o *Owner, b *pagedTable[T]) error {
-	rows, _, err := ledger.ReadAll(ctx, o.store, b.table, o.options.Cell)
+func (o *Owner) recoverTable(ctx context.Context, table string, load func(rows []ledger.Row) error) error {
+	rows, _, err := ledger.ReadAll(ctx, o.store, table, o.options.Cell)
 	if err != nil {
 		return err
 	}
-	return b.load(rows)
+	return load(rows)
 }
 
 // watchWorkers follows the announcements of workers in the store. It decodes them itself, so
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -92,11 +92,11 @@
 		p.Since = time.Now().Add(o.waves.planner.WaveStart(p.Wave) - clock.Now()).UnixMilli()
 		o.records.waves = append(o.records.waves, p)
 		o.log.WithFields(logrus.Fields{"wave": p.Wave, "begun": len(p.Begun), "done": p.Done}).Info("upkeep: wave progress changed")
-		o.pendingEffects = append(o.pendingEffects, func() {
+		o.pendingEffects = append(o.pendingEffects, effect{run: func() {
 			if err := o.waves.status.TryPut(p); err != nil {
 				o.log.WithField("wave", p.Wave).Warn("upkeep: wave status dropped")
 			}
-		})
+		}})
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/timer"
@@ -256,7 +257,7 @@
 	if d.ends.isRecorded(report.Life, number) {
 		return
 	}
-	o.pendingEffects = append(o.pendingEffects, func() { d.ends.record(report.Life, number) })
+	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{table: ledger.ProgressTable}}, run: func() { d.ends.record(report.Life, number) }})
 }
 
 // handleSilence handles a hold without an answer. The worker may have another life when
