upkeep, cell: all orders of upkeep share the disruption budget of a service

What callers saw: a wave of four machines, two at once, ended two tasks at a time of a service that may miss one.

Cause: each order asked the budget by itself. Orders of the same pass did not count for one another, and the runs of a machine that had gone down counted as serving until their lease expired, about 4 s later.

A task now counts as serving only if its machine is certainly up, by the list of machines and by the orders of all waves since. An order counts from when it is planned. The list shows the orders of earlier owners too, so that the budget outlives them. An order that got no answer asks the budget again before it is repeated. A wave that waits says why in its status and in the log.

--- a/cell/evict.go
+++ b/cell/evict.go
@@ -1,5 +1,7 @@
 package cell
 
+import "slices"
+
 // Reserve excludes exactly the given workers from new work, because their machines go down
 // next for upkeep.
 func (c *Cell) Reserve(workers []string) {
@@ -16,8 +18,10 @@
 }
 
 // MayEnd reports whether all runs of a worker may be ended now without any service exceeding
-// its disruption budget.
-func (c *Cell) MayEnd(worker string) bool {
+// its disruption budget. Tasks on workers for which isUp returns false count as unavailable:
+// their machines may have been ordered down, which the cell learns only when their leases
+// expire.
+func (c *Cell) MayEnd(worker string, isUp func(worker string) bool) bool {
 	w := c.workers[worker]
 	if w == nil {
 		return true
@@ -29,7 +33,7 @@
 		}
 	}
 	for s, n := range ended {
-		if s.unavailableCount()+n > s.DisruptionBudget {
+		if s.unavailableElsewhere(worker, isUp)+n > s.DisruptionBudget {
 			return false
 		}
 	}
@@ -39,15 +43,14 @@
 // servingPercent is the progress of a daemon that serves, in percent.
 const servingPercent = 100
 
-// unavailableCount returns the number of tasks of a service that do not serve.
-func (s *step) unavailableCount() int {
+// unavailableElsewhere returns the number of tasks of a service that do not serve, without
+// those that run on the given worker: these may serve since the last report.
+func (s *step) unavailableElsewhere(worker string, isUp func(worker string) bool) int {
 	n := 0
 	for _, t := range s.tasks {
-		serving := false
-		for _, r := range t.runs {
-			serving = serving || r.state == running && r.percent >= servingPercent
-		}
-		if !serving {
+		if !slices.ContainsFunc(t.runs, func(r *run) bool {
+			return r.state == running && (r.worker.ID == worker || r.percent >= servingPercent && isUp(r.worker.ID))
+		}) {
 			n++
 		}
 	}
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -91,7 +91,7 @@
 	for _, p := range o.waves.planner.Changes() {
 		p.Since = time.Now().Add(o.waves.planner.WaveStart(p.Wave) - clock.Now()).UnixMilli()
 		o.records.waves = append(o.records.waves, p)
-		o.log.WithFields(logrus.Fields{"wave": p.Wave, "begun": len(p.Begun), "done": p.Done}).Info("upkeep: wave progress changed")
+		o.log.WithFields(logrus.Fields{"wave": p.Wave, "begun": len(p.Begun), "done": p.Done, "blocked": p.Blocked}).Info("upkeep: wave progress changed")
 		o.pendingEffects = append(o.pendingEffects, effect{run: func() {
 			if err := o.waves.status.TryPut(p); err != nil {
 				o.log.WithField("wave", p.Wave).Warn("upkeep: wave status dropped")
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -23,8 +23,8 @@
 	// Runs returns the number of runs on a worker.
 	Runs(worker string) int
 	// MayEnd reports whether all runs of a worker may be stopped now without stopping too
-	// many tasks of a service.
-	MayEnd(worker string) bool
+	// many tasks of a service. Tasks on workers for which isUp returns false count as stopped.
+	MayEnd(worker string, isUp func(worker string) bool) bool
 }
 
 // Planner plans the orders of all waves. Create one with New.
@@ -33,6 +33,8 @@
 	duration time.Duration
 	waves    map[int64]*wave
 	machines map[string]Machine
+	// machineOf holds the machine of each worker.
+	machineOf map[string]string
 	// listedAt is when the list of machines was requested.
 	listedAt time.Duration
 	// changedWaves holds the numbers of the waves whose progress must be recorded.
@@ -52,6 +54,9 @@
 	backoffUntil map[string]time.Duration
 	startedAt    time.Duration
 	done         bool
+	// blocked holds the machines that wait because too many tasks of a service are
+	// unavailable.
+	blocked map[string]bool
 }
 
 // New returns a planner for upkeeps of the given duration.
@@ -68,7 +73,7 @@
 	w.MaxDown = max(1, w.MaxDown)
 	p.waves[w.Number] = &wave{
 		Wave: w, startedAt: startedAt, begun: map[string]bool{}, downSince: map[string]time.Duration{},
-		selectedSince: map[string]time.Duration{}, backoffUntil: map[string]time.Duration{},
+		selectedSince: map[string]time.Duration{}, backoffUntil: map[string]time.Duration{}, blocked: map[string]bool{},
 	}
 	p.changedWaves = append(p.changedWaves, w.Number)
 	return true
@@ -101,12 +106,28 @@
 // SetMachines sets the list of machines, which was requested at requestedAt.
 func (p *Planner) SetMachines(requestedAt time.Duration, list []Machine) {
 	p.listedAt = requestedAt
-	p.machines = make(map[string]Machine, len(list))
+	p.machines, p.machineOf = make(map[string]Machine, len(list)), make(map[string]string, len(list))
 	for _, m := range list {
-		p.machines[m.ID] = m
+		p.machines[m.ID], p.machineOf[m.Worker] = m, m.ID
 	}
 }
 
+// isUp reports whether a worker's machine is certainly up: it is listed as up, and no order to
+// take it down, of any wave, may have been carried out since. An order counts from when it is
+// planned. The list, not the waves alone, shows the orders of earlier owners.
+func (p *Planner) isUp(worker string) bool {
+	id, listed := p.machineOf[worker]
+	if !listed || p.machines[id].State != Up {
+		return false
+	}
+	for _, w := range p.waves {
+		if _, down := w.downSince[id]; down {
+			return false
+		}
+	}
+	return true
+}
+
 // Active reports whether any wave is not done.
 func (p *Planner) Active() bool {
 	for _, w := range p.waves {
@@ -196,6 +217,10 @@
 	var orders []Order
 	for _, id := range w.Machines {
 		if since, ok := w.downSince[id]; ok && !w.begun[id] && now-since >= orderRetryInterval {
+			// The first order may have been lost, so that this one ends the tasks.
+			if worker := p.machines[id].Worker; workers.Runs(worker) > 0 && !workers.MayEnd(worker, p.isUp) {
+				continue
+			}
 			w.downSince[id] = now
 			orders = append(orders, Order{Wave: w.Number, Machine: id})
 		}
@@ -206,9 +231,16 @@
 			continue
 		}
 		worker := p.machines[id].Worker
-		if workers.Runs(worker) > 0 && (now-since < p.maxWait(now, w) || !workers.MayEnd(worker)) {
-			continue
+		if workers.Runs(worker) > 0 {
+			if now-since < p.maxWait(now, w) {
+				continue
+			}
+			if !workers.MayEnd(worker, p.isUp) {
+				p.markBlocked(w, id)
+				continue
+			}
 		}
+		delete(w.blocked, id)
 		delete(w.selectedSince, id)
 		w.downSince[id] = now
 		orders = append(orders, Order{Wave: w.Number, Machine: id})
@@ -216,6 +248,14 @@
 	return orders
 }
 
+// markBlocked notes that a machine waits for the disruption budget of a service.
+func (p *Planner) markBlocked(w *wave, id string) {
+	if !w.blocked[id] {
+		w.blocked[id] = true
+		p.changedWaves = append(p.changedWaves, w.Number)
+	}
+}
+
 // maxWait returns how long a machine may wait for its tasks to end so that the rest of the
 // wave still finishes in time.
 func (p *Planner) maxWait(now time.Duration, w *wave) time.Duration {
@@ -263,7 +303,7 @@
 	var changes []Progress
 	for _, number := range slices.Compact(p.changedWaves) {
 		w := p.waves[number]
-		changes = append(changes, Progress{Wave: number, Done: w.done, Begun: slices.Sorted(maps.Keys(w.begun))})
+		changes = append(changes, Progress{Wave: number, Done: w.done, Begun: slices.Sorted(maps.Keys(w.begun)), Blocked: slices.Sorted(maps.Keys(w.blocked))})
 	}
 	p.changedWaves = nil
 	return changes
--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,10 @@
 	runs   map[string]int
 	pinned map[string]bool
 	backAt map[string]time.Duration
+	// service holds the workers that run the tasks of a service, one each, of which budget
+	// may be unavailable.
+	service []string
+	budget  int
 }
 
 func newFakeMachines(n int) *fakeMachines {
@@ -29,8 +34,16 @@
 	return f
 }
 
-func (f *fakeMachines) Runs(worker string) int    { return f.runs[worker] }
-func (f *fakeMachines) MayEnd(worker string) bool { return !f.pinned[worker] }
+func (f *fakeMachines) Runs(worker string) int { return f.runs[worker] }
+func (f *fakeMachines) MayEnd(worker string, isUp func(worker string) bool) bool {
+	unavailable := 0
+	for _, other := range f.service {
+		if other != worker && !isUp(other) {
+			unavailable++
+		}
+	}
+	return !f.pinned[worker] && (!slices.Contains(f.service, worker) || unavailable+1 <= f.budget)
+}
 func (f *fakeMachines) find(id string) *upkeep.Machine {
 	for i := range f.list {
 		if f.list[i].ID == id {
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -59,4 +59,7 @@
 	Done  bool     `cbor:"3,keyasint,omitempty"`
 	// Since is when the wave began, in milliseconds since 1970, or 0 if that is not known.
 	Since int64 `cbor:"4,keyasint,omitempty"`
+	// Blocked holds the machines that wait because too many tasks of a service are
+	// unavailable. It is not recorded.
+	Blocked []string `cbor:"-"`
 }
