cell: progress is judged against what a task is expected to need

What callers saw: tasks of 420 s were stopped every 3 s and their workers paused, so that the job had nothing running; one of over 300 s without checkpoints could never end.

Cause: a run counted as stuck if its percent did not change for 3 s. Workers report whole percents, and one of 420 s takes 4.2 s.

--- a/cell/job.go
+++ b/cell/job.go
@@ -71,6 +71,8 @@
 	runs []*run
 	// notBefore delays the next run of a task that failed.
 	notBefore time.Duration
+	// stuckRuns is the number of runs that were withdrawn because they made no progress.
+	stuckRuns int
 	// rate is the last observed progress of the first run in percent per second, on the
 	// worker with the ID rateWorker; "" is none yet.
 	rate       float64
--- a/cell/report.go
+++ b/cell/report.go
@@ -18,10 +18,6 @@
 // reported.
 const unknownStopInterval = 300 * time.Millisecond
 
-// stuckTimeout is how long a run may go without progress. Progress is in percent, and the
-// longest tasks take some 160 ms for one percent.
-const stuckTimeout = 3 * time.Second
-
 // HandleReport processes the report of a worker that was requested at sent. It returns the
 // number of the last ended run that has been counted; the worker may forget ended runs up to
 // it once the changes are recorded.
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -70,24 +70,6 @@
 	return now > c.leaseEnd(granted) && now-w.lastReportAt > c.options.Lease
 }
 
-// checkProgress withdraws a run that makes no progress while its worker keeps reporting.
-func (c *Cell) checkProgress(now time.Duration, w *worker, r *run) {
-	s, t := c.findTask(r.id)
-	if s == nil || s.Daemon || w.lastReportAt <= r.progressedAt || t.done {
-		return
-	}
-	progressed, waits := r.progressedAt, false
-	if s.Gang {
-		progressed, waits = s.gangProgress(r)
-	}
-	if waits || now-progressed < stuckTimeout {
-		return
-	}
-	w.penalise(now)
-	w.failureScore++
-	c.withdraw(now, r, fmt.Sprintf("no progress at %.0f percent", r.percent))
-}
-
 // completePercent is the progress, in percent, of a run that has finished its own part of the
 // work.
 const completePercent = 100
--- a/cell/share.go
+++ b/cell/share.go
@@ -41,7 +41,8 @@
 	}
 	for _, r := range fillers {
 		if r.orderedShare != w.pace.Share() {
-			r.orderedShare = w.pace.Share()
+			// Progress is expected at the new rate from now on.
+			r.orderedShare, r.progressedAt = w.pace.Share(), now
 			c.actions.Paces = append(c.actions.Paces, Pace{Worker: w.Worker, Task: r.id, Run: r.number, Percent: r.orderedShare})
 		}
 	}
