ledger, front: a host that was cut off reads the newest configuration only

What callers saw: 404 for queues that had been added 4 s before, from small hosts that had been cut off for 5.5 s while manifests of 1,450 queues came in quick succession.

Cause: after the cut the watch of the configuration went on from its last version, so that the store sent each version since over a link of 10 Mbit/s, and the host decoded each with a fifth of a core.

The watch lists the rows after a gap, and reports of each row that one call returns only the newest version.

TestInterruptedWatchSkipsEarlierVersions fails without it.

--- a/front/host.go
+++ b/front/host.go
@@ -215,7 +215,7 @@
 	}
 	ledger.Watch{
 		Store: h.store, Table: platform.OperatorTable,
-		OnChange: onChange, Reissue: h.catalogueRefresh.Values(),
+		OnChange: onChange, ListAfterGap: true, Reissue: h.catalogueRefresh.Values(),
 		OnError: func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
 	}.Run(ctx)
 }
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -34,13 +34,17 @@
 	// OnList is called with all rows, at first and whenever history was dropped. If it is
 	// nil, OnChange is called for each row instead.
 	OnList func(rows []Row)
-	// OnChange is called for each row that has changed.
+	// OnChange is called for each row that has changed. Versions of a row that the same call
+	// returns with a newer one are left out.
 	OnChange func(row Row)
 	// OnSuccess is called after each successful list or feed call. It may be nil.
 	OnSuccess func()
 	// OnError is called after a list or feed call has failed, unless history was dropped.
 	// It may be nil.
 	OnError func(err error)
+	// ListAfterGap makes the watch list the rows after a feed call that failed or was made
+	// again. The feed would return each version of a row that was written meanwhile.
+	ListAfterGap bool
 	// Reissue delivers requests to cancel the feed call in flight, which the store may
 	// have lost, and to make it again. It may be nil.
 	Reissue <-chan struct{}
@@ -110,6 +114,7 @@
 	case errors.Is(err, ErrHistoryDropped):
 		return watchState{needsList: true, needsRelist: true}, err
 	case err != nil:
+		p.needsList = p.needsList || w.ListAfterGap
 		return p, err
 	default:
 		return watchState{after: after, needsList: p.needsRelist}, nil
@@ -158,8 +163,14 @@
 		}
 		return after, err
 	}
+	newest := map[string]Version{}
 	for _, r := range page.Rows {
 		if r.Part == w.Part {
+			newest[r.Key] = r.Version
+		}
+	}
+	for _, r := range page.Rows {
+		if r.Part == w.Part && r.Version == newest[r.Key] {
 			w.OnChange(r)
 		}
 	}
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,3 +144,54 @@
 	n := store.lists.Load()
 	qt.Assert(t, n >= 3 && n <= 6, qt.IsTrue, qt.Commentf("%d lists in a second", n))
 }
+
+// interruptedStore interrupts the first feed call. Feeds return all versions of a row since
+// then, lists the newest.
+type interruptedStore struct {
+	fakeStore
+	lists, feeds atomic.Int64
+}
+
+// Rows implements ledger.Store.
+func (s *interruptedStore) Rows(_ context.Context, table, _, _ string, _ int) (ledger.Page, error) {
+	if s.lists.Add(1) == 1 {
+		return ledger.Page{Version: 1}, nil
+	}
+	return ledger.Page{Rows: []ledger.Row{{Table: table, Key: "k", Version: 9}}, Version: 9}, nil
+}
+
+// Feed implements ledger.Store.
+func (s *interruptedStore) Feed(ctx context.Context, table string, after ledger.Version, _ time.Duration) (ledger.Page, error) {
+	if s.feeds.Add(1) == 1 {
+		return ledger.Page{}, ledger.ErrUnavailable
+	}
+	if after >= 9 {
+		<-ctx.Done()
+		return ledger.Page{}, ctx.Err()
+	}
+	page := ledger.Page{Version: 9}
+	for v := after + 1; v <= 9; v++ {
+		page.Rows = append(page.Rows, ledger.Row{Table: table, Key: "k", Version: v})
+	}
+	return page, nil
+}
+
+// A host that was cut off must not read and apply each version of a large row in turn over a
+// small link: the last one would be in force too late (CONFIG).
+func TestInterruptedWatchSkipsEarlierVersions(t *testing.T) {
+	for _, listAfterGap := range []bool{true, false} {
+		t.Run(fmt.Sprint(listAfterGap), func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			store := &interruptedStore{}
+			var versions []ledger.Version
+			ledger.Watch{Store: store, Table: "t", ListAfterGap: listAfterGap, OnChange: func(r ledger.Row) {
+				versions = append(versions, r.Version)
+				cancel()
+			}}.Run(ctx)
+			c.Assert(versions, qt.DeepEquals, []ledger.Version{9})
+			c.Assert(store.lists.Load(), qt.Equals, map[bool]int64{true: 2, false: 1}[listAfterGap])
+		})
+	}
+}
