cell, scheduler: a worker gets no work by the labels of an earlier life

What callers saw: tasks that require a kind started on a worker of another one, 50 to 70 ms after it had started again under its ID.

Cause: the cell placed tasks by the announcement of the earlier life as soon as the next one answered a hold, and orders that were queued were sent to it.

A worker is usable if it reports the life that it announces, and an order is sent if it was placed on the life that answered the last hold.

--- a/cell/rule_route_test.go
+++ b/cell/rule_route_test.go
@@ -85,3 +85,26 @@
 	w.endTask(earlier.starts[0].Task, cell.EndedDone)
 	c.Assert(w.starts, qt.HasLen, 1)
 }
+
+// ROUTE: a worker starts again as another kind, and is heard before its new announcement is
+// read. Its earlier labels say nothing of it.
+func TestRebornWorkerGetsNoWorkByItsEarlierLabels(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	f := w.workers["w0"]
+	earlier := f.Worker
+	f.Life, f.Labels = 2, []string{"b", "r0"}
+	w.now += 100 * ms
+	w.reportAll()
+	requires := func(s *workload.Step) { s.Requires = "a" }
+	w.submit(job(id(1), "Plain", 1, requires))
+	c.Assert(w.starts, qt.HasLen, 0)
+	// An announcement of the earlier life may still arrive.
+	w.HandleAnnouncement(w.now, earlier)
+	w.step()
+	c.Assert(w.starts, qt.HasLen, 0)
+	w.HandleAnnouncement(w.now, f.Worker)
+	w.submit(job(id(2), "Plain", 1, func(s *workload.Step) { s.Requires = "b" }))
+	c.Assert(w.startedOn(id(1)), qt.HasLen, 0)
+	c.Assert(w.startedOn(id(2)), qt.HasLen, 1)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -104,9 +104,10 @@
 	w.pausedUntil = max(w.pausedUntil, now+pause)
 }
 
-// usable reports whether a worker accepts new work.
+// usable reports whether a worker accepts new work. One that reports another life than it
+// announces may have become another kind, whose labels and capacity are not known yet.
 func (c *Cell) usable(now time.Duration, w *worker) bool {
-	return !w.unlisted && !w.Draining && !w.reserved && len(w.unknownRuns) == 0 && now >= w.unknownRunsUntil && c.reportsInTime(now, w) && now >= w.pausedUntil
+	return !w.unlisted && !w.Draining && !w.reserved && w.reportedLife == w.Life && len(w.unknownRuns) == 0 && now >= w.unknownRunsUntil && c.reportsInTime(now, w) && now >= w.pausedUntil
 }
 
 // reportsInTime reports whether the last report of a worker is recent enough for new work.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -59,6 +59,8 @@
 	// clockOffset is the worker's clock minus this host's; nil if the last hold had no
 	// answer.
 	clockOffset atomic.Pointer[time.Duration]
+	// life is the incarnation that answered the last hold.
+	life atomic.Int64
 	// runsSharedServices reports whether the worker runs services beside fillers.
 	runsSharedServices atomic.Bool
 	// idlePause is how long the idle worker needs no hold, in nanoseconds.
@@ -236,6 +238,7 @@
 	}
 	received := clock.Now()
 	d.ends.setLife(lists.Report.Life)
+	d.life.Store(lists.Report.Life)
 	offset := time.Duration(lists.Clock)*time.Millisecond - received
 	if d.clockOffset.Swap(&offset) == nil {
 		o.log.WithFields(logrus.Fields{"worker": w.ID, "life": lists.Report.Life}).Info("scheduler: worker heard")
@@ -273,7 +276,8 @@
 	}
 }
 
-// sendStart sends an order to start, unless it has become outdated in the queue.
+// sendStart sends an order to start, unless it has become outdated in the queue or was placed on
+// an earlier life of the worker, which may have been of another kind.
 func (d *workerSession) sendStart(ctx context.Context, s cell.Start, queuedAt time.Duration) cell.Answer {
 	o, w := d.owner, d.worker.Load()
 	answered := func(a cell.Answer) cell.Answer {
@@ -282,7 +286,7 @@
 	}
 	sent := clock.Now()
 	offset := d.clockOffset.Load()
-	if offset == nil || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || !s.Claim() {
+	if offset == nil || d.life.Load() != s.Worker.Life || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || !s.Claim() {
 		return answered(cell.Unsent)
 	}
 	o.enqueue(ctx, func(time.Duration) { o.cell.RecordGrant(sent, w.ID) })
