cell: a gang that cannot start beside services holds no capacity

What callers saw: a batch job had nothing running with seven eighths of the room free, for as long as a gang of whole workers counted as in time.

Cause: the gang held all free capacity, because it would have fitted the workers without the service that used an eighth of each; a service does not end by itself.

Capacity is held if the gang fits what is free once all runs but those of services have ended.

Evidence: TestGangThatCannotFitBesideServicesHoldsNothing fails without the change.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -124,7 +124,7 @@
 // capacity on the workers closest to fitting them, since small tasks would otherwise use
 // every part of it that becomes free.
 func (c *Cell) holdCapacity(now time.Duration, s *step, queue workload.Queue) {
-	if s.bookedPlan != nil || !c.fitsEmptyWorkers(now, s, queue) {
+	if s.bookedPlan != nil || !c.fitsBesideDaemons(now, s, queue) {
 		// The gang has all the capacity that it needs, or could never start and would hold
 		// capacity for nothing.
 		return
@@ -148,14 +148,14 @@
 	}
 }
 
-// fitsEmptyWorkers reports whether all of a gang would fit the workers known to be eligible
-// for it, were they empty. Workers leave, and a gang may not have asked about enough of them
-// yet.
-func (c *Cell) fitsEmptyWorkers(now time.Duration, s *step, queue workload.Queue) bool {
+// fitsBesideDaemons reports whether all of a gang would fit the workers known to be eligible
+// for it, were they empty but for daemons. Workers leave, and a gang may not have asked about
+// enough of them yet.
+func (c *Cell) fitsBesideDaemons(now time.Duration, s *step, queue workload.Queue) bool {
 	slots := 0
 	for _, w := range c.eligibleWorkers(s, queue) {
 		if w.canBeNamed(now) && matchesStep(s, queue, w) {
-			slots += s.slotsOn(w)
+			slots += s.fitCountIn(w.reclaimable())
 		}
 	}
 	return slots >= len(s.tasks)
@@ -167,7 +167,7 @@
 	var chosen *worker
 	var leastMissing float64
 	for _, w := range list {
-		if !s.Demand().Fits(w.Capacity.Minus(w.held)) {
+		if !s.Demand().Fits(w.reclaimable().Minus(w.held)) {
 			continue
 		}
 		if s.MaxPerWorker > 0 && s.runCountOn(w)+heldTasks[w] >= s.MaxPerWorker {
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -77,7 +77,7 @@
 		c.addWorker(w)
 	}
 	w.grantedAt = max(w.grantedAt, bound)
-	r := &run{id: s.taskID(t), number: p.Run, size: s.Demand(), worker: w.Worker, state: runChart.Initial(), placedAt: now, progressedAt: now, restored: true, orderedShare: unknownShare}
+	r := &run{id: s.taskID(t), number: p.Run, size: s.Demand(), lasts: s.Daemon, worker: w.Worker, state: runChart.Initial(), placedAt: now, progressedAt: now, restored: true, orderedShare: unknownShare}
 	c.applyEvent(r, "Recover")
 	// The earlier owner may have sent the order.
 	r.order.claim()
--- a/cell/run.go
+++ b/cell/run.go
@@ -33,6 +33,8 @@
 	id     workload.TaskID
 	number int
 	size   task.Size
+	// lasts reports whether the run belongs to a daemon, which does not end by itself.
+	lasts bool
 	// worker is the worker's announcement at the time of placement.
 	worker workload.Worker
 	state  chart.State
@@ -119,7 +121,7 @@
 // placeRun allocates the capacity for a run and issues the order to start it.
 func (c *Cell) placeRun(now time.Duration, s *step, t *taskRecord, w *worker, number int) {
 	r := &run{
-		id: s.taskID(t), number: number, size: s.Demand(), worker: w.Worker, state: runChart.Initial(),
+		id: s.taskID(t), number: number, size: s.Demand(), lasts: s.Daemon, worker: w.Worker, state: runChart.Initial(),
 		placedAt: now, progressedAt: now, orderedShare: pace.FullShare,
 	}
 	t.lastRun = number
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -65,3 +65,31 @@
 	}
 	t.Logf("the gangs started after %v", w.now-began)
 }
+
+// A gang needs whole workers, on each of which a service uses a part. It can't start before the
+// service ends, and must hold no capacity until then: a job behind it would have nothing running
+// though most of the room is free (LOST).
+func TestGangThatCannotFitBesideServicesHoldsNothing(t *testing.T) {
+	c := qt.New(t)
+	const workers = 4
+	w := newWorld(workers)
+	w.submit(job(id(1), "Plain", workers, func(s *workload.Step) {
+		s.Daemon, s.MaxPerWorker, s.Size.Processors = true, 1, task.Processor
+	}))
+	w.submit(job(id(2), "Plain", workers, func(s *workload.Step) {
+		s.Gang, s.Size.Processors, s.Estimate = true, 10*task.Processor, 60*second
+	}))
+	w.advance(second)
+	w.submit(job(id(3), "Plain", 2, func(s *workload.Step) { s.Estimate = 90 * second }))
+	w.advance(second)
+	c.Check(w.startedOn(id(2)), qt.HasLen, 0)
+	c.Check(w.startedOn(id(3)), qt.HasLen, 2)
+	// Once the service is gone the gang gets the room.
+	w.Cancel(w.now, id(1))
+	w.step()
+	w.advance(2 * second)
+	w.Cancel(w.now, id(3))
+	w.step()
+	w.advance(2 * second)
+	c.Check(w.startedOn(id(2)), qt.HasLen, workers)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -37,6 +37,8 @@
 	// used is the capacity allocated to runs. held is the capacity that gangs hold from the
 	// steps ranked after them, in the current scheduling pass.
 	used, held task.Size
+	// usedByDaemons is the part of used that does not become free by itself.
+	usedByDaemons task.Size
 	// unlisted reports whether the worker is no longer announced.
 	unlisted bool
 	// seenAt is when the worker was first announced, or announced again after it was unlisted.
@@ -70,12 +72,18 @@
 // free returns the capacity not allocated to runs.
 func (w *worker) free() task.Size { return w.Capacity.Minus(w.used) }
 
+// reclaimable returns the capacity that is free once all runs but those of daemons have ended.
+func (w *worker) reclaimable() task.Size { return w.Capacity.Minus(w.usedByDaemons) }
+
 // available returns the free capacity that is not held for a gang.
 func (w *worker) available() task.Size { return w.free().Minus(w.held) }
 
 func (w *worker) add(r *run) {
 	w.runs[runKey{r.id, r.number}] = r
 	w.used = w.used.Plus(r.size)
+	if r.lasts {
+		w.usedByDaemons = w.usedByDaemons.Plus(r.size)
+	}
 }
 
 // revokeUnsentStarts prevents the sending of orders to start that are still queued. They are
@@ -95,6 +103,9 @@
 	}
 	delete(w.runs, key)
 	w.used = w.used.Minus(r.size)
+	if r.lasts {
+		w.usedByDaemons = w.usedByDaemons.Minus(r.size)
+	}
 }
 
 // penalise counts a failure of the worker and pauses it.
