cell: the next owner counts one failure of a gang's run

What callers would see: a job shown as failed after fewer than `attempts` failed runs.

Cause: all members of a gang fail together, and one failure counts for a run; which run that was did not reach the next owner, which counted the end of a second member again.

The number of the run is recorded with the step, for gangs that have failed.

Evidence: TestNextOwnerCountsOneFailureOfAGangsRun fails if the number is not restored.

--- a/cell/record.go
+++ b/cell/record.go
@@ -17,6 +17,8 @@
 	// First is the index of the first of Tasks; it differs from 0 only in a part of the
 	// progress.
 	First int `cbor:"4,keyasint,omitempty"`
+	// FailedRun is the last run of a gang whose failure was counted; 0 for other steps.
+	FailedRun int `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskProgress is the progress of one task.
@@ -86,6 +88,9 @@
 
 func (s *step) progress() StepProgress {
 	p := StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Tasks: make([]TaskProgress, len(s.tasks))}
+	if s.Gang {
+		p.FailedRun = s.lastFailedRun
+	}
 	for i, t := range s.tasks {
 		p.Tasks[i] = TaskProgress{Done: t.done, Run: t.lastRun, Failures: t.failures}
 		if !t.done {
--- a/cell/record_part.go
+++ b/cell/record_part.go
@@ -49,7 +49,7 @@
 			number := position / MaxPartTasks
 			n := min(len(s.Tasks), (number+1)*MaxPartTasks-position)
 			part := parts[number]
-			part.Steps = append(part.Steps, StepProgress{Occurrence: s.Occurrence, Step: s.Step, First: s.First, Tasks: s.Tasks[:n]})
+			part.Steps = append(part.Steps, StepProgress{Occurrence: s.Occurrence, Step: s.Step, First: s.First, FailedRun: s.FailedRun, Tasks: s.Tasks[:n]})
 			parts[number] = part
 			position, s.First, s.Tasks = position+n, s.First+n, s.Tasks[n:]
 			if len(s.Tasks) == 0 {
@@ -64,7 +64,7 @@
 // other parts as well: earlier versions did not divide the progress.
 func JoinParts(parts map[int]Progress) Progress {
 	type stepKey struct{ occurrence, step int }
-	tasks := map[stepKey][]TaskProgress{}
+	tasks, failedRun := map[stepKey][]TaskProgress{}, map[stepKey]int{}
 	for _, number := range slices.Sorted(maps.Keys(parts)) {
 		for _, s := range parts[number].Steps {
 			key := stepKey{s.Occurrence, s.Step}
@@ -72,11 +72,12 @@
 				tasks[key] = append(tasks[key], make([]TaskProgress, missing)...)
 			}
 			copy(tasks[key][s.First:], s.Tasks)
+			failedRun[key] = max(failedRun[key], s.FailedRun)
 		}
 	}
 	joined := Progress{State: parts[0].State}
 	for key, list := range tasks {
-		joined.Steps = append(joined.Steps, StepProgress{Occurrence: key.occurrence, Step: key.step, Tasks: list})
+		joined.Steps = append(joined.Steps, StepProgress{Occurrence: key.occurrence, Step: key.step, FailedRun: failedRun[key], Tasks: list})
 	}
 	slices.SortFunc(joined.Steps, func(a, b StepProgress) int {
 		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Cell) restoreStep(now, bound time.Duration, s *step, p StepProgress) {
-	s.hadRun = true
+	s.hadRun, s.lastFailedRun = true, p.FailedRun
 	if s.Daemon {
 		s.waitingSince = now
 	}
--- a/cell/rule_budget_test.go
+++ b/cell/rule_budget_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -68,3 +69,27 @@
 	c.Assert(w.states[id(1)], qt.Equals, workload.Failed)
 	c.Assert(w.starts, qt.HasLen, 0)
 }
+
+// BUDGET: the members of a gang fail together, and an owner fails after it has counted the first.
+// The next owner must not count the failure of the same run again, or the job fails too soon.
+func TestNextOwnerCountsOneFailureOfAGangsRun(t *testing.T) {
+	c := qt.New(t)
+	earlier := newWorld(2)
+	earlier.submit(job(id(1), "Twice", 2, func(s *workload.Step) {
+		s.Gang, s.Size.Processors, s.Estimate = true, 8*task.Processor, 20*second
+	}))
+	c.Assert(earlier.runningCount(), qt.Equals, 2)
+	earlier.workers["w1"].unresponsive = true
+	earlier.workers["w0"].endAll(cell.EndedFailed)
+	earlier.now += 100 * ms
+	earlier.reportAll()
+	w := newWorld(2)
+	w.now, w.workers = earlier.now, earlier.workers
+	w.Restore(w.now, w.now+second, earlier.jobs[id(1)], earlier.progress[id(1)])
+	w.workers["w1"].unresponsive = false
+	w.workers["w1"].endAll(cell.EndedFailed)
+	w.reportAll()
+	w.advance(2 * second)
+	c.Check(w.states[id(1)], qt.Equals, workload.Running)
+	c.Check(w.starts, qt.HasLen, 2)
+}
