ledger, scheduler: the status of a wave stays done

What the operator would see: a wave that was done is shown as running again.

Cause: `status/wave/N` was written without a condition. An owner that was suspended could write it over what its successor wrote.

The row is read first, kept if it says that the wave is done, and written under the condition that it has not changed.

--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -170,7 +170,7 @@
 				o.log.WithError(err).Error("upkeep: wave status not encoded")
 				continue
 			}
-			ledger.Put(ctx, o.store, row, upkeepInterval)
+			ledger.PutUnlessFinal(ctx, o.store, row, upkeepInterval, platform.IsWaveDone)
 		}
 	}
 }
