--- a/cell/record_part.go
+++ b/cell/record_part.go
@@ -11,9 +11,9 @@
 const (
 	// MaxPartTasks is the number of tasks in one part of a job's progress.
 	MaxPartTasks = 32
-	// MaxCheckpointBytes limits a checkpoint, so that a part of the progress stays below
-	// 40 KiB: two runs of a task take 220 bytes each, and the ID of a worker 200 of these.
-	// The platform's checkpoints have 16 characters.
+	// MaxCheckpointBytes limits a checkpoint, so that a part of the progress fits a row of
+	// the store even if its tasks have two runs each, on workers with IDs of 200 bytes.
+	// Checkpoints of the platform have 16 characters.
 	MaxCheckpointBytes = 512
 )
 
--- a/cell/stuck.go
+++ b/cell/stuck.go
@@ -11,9 +11,9 @@
 const (
 	// minStuckTimeout is how long a run may go without progress at least.
 	minStuckTimeout = 3 * time.Second
-	// maxSlowdown is how many times as long as expected a run may take for one percent. Slow
-	// workers take 8.4 times as long (trouble-3 of the first site), and workers report every
-	// 1.5 s.
+	// maxSlowdown is how many times as long as expected a run may take for one percent. The
+	// slowest workers that are still in use take over eight times as long, and a run that is
+	// withdrawn loses its work.
 	maxSlowdown = 10
 	// maxDeviation is how many times as long as before a run may take for one percent.
 	maxDeviation = 2
