front: workers of the tests announce the start that they report

The tests announced the time of the announcement as the worker's start, which differs from what the worker itself reports, by milliseconds or, after a second announcement, by seconds. PROTOCOL, Service discovery: "The field `born`, at the top level of all that it says of itself and of its lists of runs, is the Unix millisecond of its start". They announce the worker's start now; no assertion has changed.

--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -186,7 +186,7 @@
 func (d *deployment) announce(i int) {
 	d.rows.Put("servers", d.runners[i].ID, []byte(fmt.Sprintf(
 		`{"service":"s","addr":%q,"zone":"z","slots":8,"state":"ready","capacity":{"cpu":8000,"mem_mb":8000},"labels":["a","r1"],"born":%d,"seq":1}`,
-		d.addresses[i], time.Now().UnixMilli())))
+		d.addresses[i], d.runners[i].StartedAt().UnixMilli())))
 }
 
 // restart brings a machine back with a new incarnation of its worker.
