cell, scheduler: tests share a service and a wait that were written twice

The tests of the disruption budget built the same service three times, and two tests of queued orders had the same loop that waits for a condition. The assertions are unchanged; no product file is touched.

--- a/cell/evict_test.go
+++ b/cell/evict_test.go
@@ -11,6 +11,13 @@
 // allUp says that the machines of all workers are up.
 func allUp(string) bool { return true }
 
+// serviceOf returns a service of n tasks, one on a worker, of which one may be unavailable.
+func serviceOf(n int) workload.Job {
+	return job(id(1), "Plain", n, func(s *workload.Step) {
+		s.Daemon, s.DisruptionBudget, s.MaxPerWorker = true, 1, 1
+	})
+}
+
 // serve makes all tasks of services serve.
 func (w *world) serve() {
 	for _, f := range w.workers {
@@ -26,9 +33,7 @@
 // may be emptied, and the next only after the task serves elsewhere.
 func TestDisruptionBudget(t *testing.T) {
 	w := newWorld(3)
-	w.submit(job(id(1), "Plain", 3, func(s *workload.Step) {
-		s.Daemon, s.DisruptionBudget, s.MaxPerWorker = true, 1, 1
-	}))
+	w.submit(serviceOf(3))
 	w.serve()
 	qt.Assert(t, w.MayEnd("w0", allUp), qt.IsTrue)
 	w.workers["w0"].endAll("Stopped")
@@ -50,9 +55,7 @@
 func TestTasksOnMachinesOrderedDownAreUnavailable(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(4)
-	w.submit(job(id(1), "Plain", 4, func(s *workload.Step) {
-		s.Daemon, s.DisruptionBudget, s.MaxPerWorker = true, 1, 1
-	}))
+	w.submit(serviceOf(4))
 	w.serve()
 	down := map[string]bool{"w0": true}
 	isUp := func(worker string) bool { return !down[worker] }
@@ -70,9 +73,7 @@
 func TestTaskThatNeverServesDoesNotBlockItsMachine(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(2)
-	w.submit(job(id(1), "Plain", 2, func(s *workload.Step) {
-		s.Daemon, s.DisruptionBudget, s.MaxPerWorker = true, 1, 1
-	}))
+	w.submit(serviceOf(2))
 	w.serve()
 	w.workers["w0"].running[0].Percent = 40
 	w.now += 100 * ms
--- a/scheduler/reborn_test.go
+++ b/scheduler/reborn_test.go
@@ -39,15 +39,10 @@
 		o.HandleCall("h", submission(fmt.Sprint(n)))
 		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
-	await := func(what string, condition func() bool) {
-		for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
-			c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf(what))
-		}
-	}
-	await("no order to start", func() bool { return len(worker.started()) >= 2 })
+	await(c, "no order to start", func() bool { return len(worker.started()) >= 2 })
 	worker.life.Store(2)
 	seen := worker.holds.Load()
-	await("the worker is not polled", func() bool { return worker.holds.Load() >= seen+2 })
+	await(c, "the worker is not polled", func() bool { return worker.holds.Load() >= seen+2 })
 	sent := worker.started()
 	time.Sleep(2500 * time.Millisecond)
 	for _, job := range worker.started() {
--- a/scheduler/revoked_test.go
+++ b/scheduler/revoked_test.go
@@ -125,6 +125,14 @@
 	c.Assert(worker.started()[sent:], qt.HasLen, 0)
 }
 
+// await waits until a condition holds, and fails the test with what is missing after 5 s.
+func await(c *qt.C, missing string, condition func() bool) {
+	c.Helper()
+	for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf(missing))
+	}
+}
+
 // A worker is slow, so that orders to start queue behind others, and begins to drain
 // meanwhile. Queued orders must not be sent once the owner has read that (DRAIN).
 func TestQueuedStartOnDrainingWorkerIsNotSent(t *testing.T) {
@@ -137,14 +145,9 @@
 		o.HandleCall("h", submission(fmt.Sprint(n)))
 		c.Assert(replies.next(c).Outcome, qt.Equals, intake.Accepted)
 	}
-	await := func(what string, condition func() bool) {
-		for end := time.Now().Add(5 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
-			c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf(what))
-		}
-	}
-	await("no order to start", func() bool { return len(worker.started()) >= 2 })
+	await(c, "no order to start", func() bool { return len(worker.started()) >= 2 })
 	store.drains.Store(true)
-	await("the owner does not read that the worker drains", func() bool {
+	await(c, "the owner does not read that the worker drains", func() bool {
 		return slices.ContainsFunc(lines.AllEntries(), func(e *logrus.Entry) bool { return e.Message == "cell: worker drains" })
 	})
 	sent := worker.started()
