--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +19,49 @@
 	// delay is how long an order takes to be carried out.
 	delay  time.Duration
 	orders []cloudOrder
+	waves  map[int64]waveOrder
+}
+
+type waveOrder struct {
+	machines []string
+	atOnce   int
+}
+
+// checkDone checks that no wave is said to be done too early.
+func (c *cloud) checkDone() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, o := range c.waves {
+		if !strings.Contains(string(c.world.store.Value("status", "wave/"+strconv.FormatInt(n, 10))), `"done"`) {
+			continue
+		}
+		for _, id := range o.machines {
+			if !c.machines[id].done[n] {
+				c.world.judge.note("MIXED: wave %d is done without %s", n, id)
+			}
+		}
+		c.world.log.add("wave %d is done", n)
+		delete(c.waves, n)
+	}
+}
+
+// checkOrder checks an order against the last one for its machine.
+func (c *cloud) checkOrder(o cloudOrder) {
+	for i := len(c.orders) - 1; i >= 0; i-- {
+		last := c.orders[i]
+		if last.machine != o.machine {
+			continue
+		}
+		switch {
+		case last.holder != o.holder && last.fence == o.fence:
+			c.world.judge.note("ONE: %s and %s with fence %d for %s", last.holder, o.holder, o.fence, o.machine)
+		case o.fence < last.fence:
+			c.world.judge.note("ONE: fence %d after %d for %s", o.fence, last.fence, o.machine)
+		case last.holder != o.holder && o.at.Sub(last.at) < 3*time.Second:
+			c.world.judge.note("ONE: %s %s after %s for %s", o.holder, o.at.Sub(last.at), last.holder, o.machine)
+		}
+		return
+	}
 }
 
 type machine struct {
@@ -62,7 +106,9 @@
 	fence, _ := strconv.ParseInt(q.Header.Get("Fencing-Token"), 10, 64)
 	m := c.machines[o.Machine]
 	c.world.log.add("cloud: upkeep of %s for wave %d by %s, fence %d", o.Machine, o.Wave, q.Header.Get("Lease-Holder"), fence)
-	c.orders = append(c.orders, cloudOrder{o.Machine, q.Header.Get("Lease-Holder"), fence, time.Now()})
+	next := cloudOrder{o.Machine, q.Header.Get("Lease-Holder"), fence, time.Now()}
+	c.checkOrder(next)
+	c.orders = append(c.orders, next)
 	switch {
 	case m == nil:
 		rw.WriteHeader(http.StatusBadRequest)
--- a/review/stand2/judge.go
+++ b/review/stand2/judge.go
@@ -13,6 +13,10 @@
 	mu     sync.Mutex
 	tasks  map[string]*taskHistory
 	breaks []string
+	// budgets holds the steps that may miss some tasks, by job.
+	budgets map[string]budget
+	// check returns what a start breaks, or "". It may be nil; j.mu is held.
+	check func(task string, run int) string
 }
 
 type taskHistory struct {
@@ -22,11 +26,17 @@
 	// failed and done count the ends that were taken note of.
 	failed, done int
 	lastEnd      time.Time
-	startedAt    []time.Time
-	endedAt      []time.Time
+	// doneAt is when a run ended as done.
+	doneAt    time.Time
+	startedAt []time.Time
+	// byOrder reports whether an order has ended the last run.
+	byOrder bool
+	endedAt []time.Time
 }
 
-func newJudge(log *record) *judge { return &judge{log: log, tasks: map[string]*taskHistory{}} }
+func newJudge(log *record) *judge {
+	return &judge{log: log, tasks: map[string]*taskHistory{}, budgets: map[string]budget{}}
+}
 
 func (j *judge) task(name string) *taskHistory {
 	t := j.tasks[name]
@@ -62,8 +72,14 @@
 	if used > w.capacity {
 		j.breakRule("LIMIT: %s has %d of %d thousandths in use", w.id, used, w.capacity)
 	}
+	if j.check != nil {
+		if text := j.check(name, run); text != "" {
+			j.breakRule("%s", text)
+		}
+	}
 	t.active[run] = w
 	t.starts++
+	t.byOrder = false
 	t.startedAt = append(t.startedAt, time.Now())
 }
 
@@ -73,6 +89,9 @@
 	t := j.task(e.task)
 	delete(t.active, e.run)
 	t.lastEnd = e.at
+	if e.how == "done" {
+		t.doneAt = e.at
+	}
 	t.endedAt = append(t.endedAt, e.at)
 }
 
@@ -98,6 +117,57 @@
 		}
 	}
 	j.log.add("cloud: %s goes down for wave %d, %d are down for it", name, m.wave, n)
+	if o, ok := c.waves[m.wave]; ok && n > o.atOnce {
+		j.note("LIMIT: %s goes down for wave %d as number %d", name, m.wave, n)
+	}
+	j.checkBudgets(m.worker)
+}
+
+// budget is a step of tasks that last, of which some may be away.
+type budget struct{ tasks, mayMiss int }
+
+// checkBudgets checks the tasks that an upkeep of a worker ends.
+func (j *judge) checkBudgets(w *worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	for id, b := range j.budgets {
+		away := 0
+		var here []string
+		for i := range b.tasks {
+			name := fmt.Sprintf("%s.0.0.%d", id, i)
+			t := j.task(name)
+			at := time.Time{}
+			for run, on := range t.active {
+				if on == w && w.runs[name] != nil && w.runs[name].run == run && w.runs[name].percent() == 100 {
+					here = append(here, name)
+				}
+				if len(t.startedAt) > 0 {
+					at = t.startedAt[len(t.startedAt)-1].Add(startupTime)
+				}
+			}
+			switch {
+			case !at.IsZero() && now.After(at):
+			case t.byOrder || now.Sub(t.lastEnd) > 5500*time.Millisecond:
+				away++
+			}
+		}
+		for _, name := range here {
+			if away >= b.mayMiss {
+				j.breakRule("AVAIL: an upkeep of %s ends %s while %d others of %d are away", w.id, name, away, b.mayMiss)
+			}
+			j.task(name).byOrder = true
+			away++
+		}
+	}
+}
+
+func (j *judge) note(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breakRule(format, args...)
 }
 
 func (j *judge) history(name string) taskHistory {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,8 @@
 	"gang":     serviceBehindGang,
 	"hopeless": serviceBehindHopeless,
 	"silent":   silentChannel,
+	"mix":      mixed,
+	"wave":     waveWaits,
 }
 
 // play is what a case gets.
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -30,6 +30,7 @@
 type worker struct {
 	id       string
 	address  string
+	kind     string
 	capacity int64
 	stopTime time.Duration
 	maxLease time.Duration
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -76,8 +76,10 @@
 type options struct {
 	hosts, workers int
 	// cpu is the capacity of a worker, in thousandths of a processor.
-	cpu    int64
-	queues []platformstandin.Queue
+	cpu int64
+	// special is the number of workers of another kind, the first ones.
+	special int
+	queues  []platformstandin.Queue
 }
 
 // bounds of the deployment, as on the sheets of the small installations.
@@ -106,15 +108,18 @@
 	if w.advice, err = serve("127.0.0.1:0", http.HandlerFunc(advise)); err != nil {
 		return nil, err
 	}
-	w.cloud = &cloud{world: w, machines: map[string]*machine{}}
+	w.cloud = &cloud{world: w, machines: map[string]*machine{}, waves: map[int64]waveOrder{}}
 	if w.cloudAddr, err = serve("127.0.0.1:0", w.cloud); err != nil {
 		return nil, err
 	}
 	for i := range o.workers {
 		k := &worker{
-			id: fmt.Sprintf("w%d", i), address: w.address(100, 1+i, workerPort), capacity: o.cpu, stopTime: stopTime, maxLease: maxHold, log: log,
+			id: fmt.Sprintf("w%d", i), address: w.address(100, 1+i, workerPort), kind: "a", capacity: o.cpu, stopTime: stopTime, maxLease: maxHold, log: log,
 			onStart: w.judge.started, onEnd: w.judge.ended, onNoted: w.judge.noted,
 		}
+		if i < o.special {
+			k.kind = "b"
+		}
 		k.boot()
 		if _, err := serve(k.address, k); err != nil {
 			return nil, err
@@ -178,6 +183,7 @@
 				w.log.add("platform: entry of %s removed", k.id)
 			}
 		}
+		w.cloud.checkDone()
 		select {
 		case <-w.beats:
 			return
@@ -195,10 +201,19 @@
 		return false
 	}
 	row, err := platformstandin.WorkerDocument(k.address, platformstandin.StateReady, k.capacity, born.UnixMilli())
-	if err == nil {
-		w.store.Put("servers", k.id, row)
+	if err != nil {
+		return false
+	}
+	var entry map[string]any
+	if err := json.Unmarshal(row, &entry); err != nil {
+		return false
+	}
+	entry["labels"] = []string{k.kind, "r1"}
+	if row, err = json.Marshal(entry); err != nil {
+		return false
 	}
-	return err == nil
+	w.store.Put("servers", k.id, row)
+	return true
 }
 
 // setQueues writes the next version of the manifest.
@@ -317,6 +332,35 @@
 	return r.StatusCode, answer
 }
 
+// wave asks for the upkeep of machines.
+func (w *world) wave(number int64, machines []string, atOnce, within int) {
+	document, _ := json.Marshal(map[string]any{"wave": number, "machines": machines, "within_s": within, "max_count": atOnce})
+	w.cloud.mu.Lock()
+	w.cloud.waves[number] = waveOrder{machines, atOnce}
+	w.cloud.mu.Unlock()
+	w.store.Put("op", fmt.Sprintf("wave/%d", number), document)
+	w.log.add("operator: wave %d of %v, %d at once, within %d s", number, machines, atOnce, within)
+}
+
+// jobDocument returns the body that hands a job in.
+func jobDocument(j *mixJob) []byte {
+	spec, _ := json.Marshal(j.spec)
+	document, _ := platformstandin.JobDocument(string(spec), j.steps)
+	var job map[string]any
+	_ = json.Unmarshal(document, &job)
+	if j.lasts {
+		lasting(job)
+	}
+	if j.budget > 0 {
+		job["steps"].([]any)[0].(map[string]any)["may"+"_miss"] = j.budget
+	}
+	if j.repeats > 0 {
+		job["first_ms"], job["interval_ms"], job["repeats"] = j.first, j.interval, j.repeats
+	}
+	document, _ = json.Marshal(job)
+	return document
+}
+
 // submit hands a job in until it is accepted, and reports whether it was.
 func (w *world) submit(path string, b behaviour, steps []platformstandin.Step, change func(job map[string]any)) bool {
 	spec, _ := json.Marshal(b)
