--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -119,7 +119,7 @@
 	default:
 		m.down, m.wave, m.done[o.Wave] = true, o.Wave, true
 		c.world.judge.upkeep(c, o.Machine, m)
-		m.worker.crash()
+		m.worker.crash(true)
 		time.AfterFunc(maintenance, func() {
 			m.worker.mu.Lock()
 			m.worker.boot()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,7 @@
 	"gang":     serviceBehindGang,
 	"hopeless": serviceBehindHopeless,
 	"silent":   silentChannel,
+	"budget":   waveOverBudget,
 	"mix":      mixed,
 	"wave":     waveWaits,
 }
--- a/review/stand2/mix.go
+++ b/review/stand2/mix.go
@@ -34,7 +34,12 @@
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	r := rand.New(rand.NewPCG(seed, 7))
 	all := []platformstandin.Queue{{Name: "plain", Attempts: 3}, {Name: "advised", Attempts: 3, Advised: true}}
-	w, err := openWorld(options{hosts: 4, workers: 8, cpu: 16000, queues: all}, p.log, p.program, p.directory)
+	workers, _ := strconv.Atoi(os.Getenv("WORKERS"))
+	cpu := int64(4000)
+	if workers == 0 {
+		workers, cpu = 8, 16000
+	}
+	w, err := openWorld(options{hosts: 4, workers: workers, cpu: cpu, queues: all}, p.log, p.program, p.directory)
 	if err != nil {
 		return nil, err
 	}
@@ -267,7 +272,7 @@
 		w.signal(host, syscall.SIGHUP)
 	case 6, 7:
 		k := w.workers[r.IntN(len(w.workers))]
-		k.crash()
+		k.crash(r.IntN(2) == 0)
 		back(time.Duration(100+r.IntN(5000))*time.Millisecond, func() {
 			k.mu.Lock()
 			k.boot()
--- a/review/stand2/service.go
+++ b/review/stand2/service.go
@@ -125,7 +125,7 @@
 	}
 	calm := time.Now()
 	if p.trouble {
-		k.crash()
+		k.crash(true)
 		calm = time.Now().Add(calmBefore)
 	}
 	longest := w.watchService(task, 2000, calm, time.Now().Add(45*time.Second))
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -49,6 +49,7 @@
 	number   int64
 	changed  chan struct{}
 	down     bool
+	hangs    bool
 }
 
 type activeRun struct {
@@ -68,17 +69,37 @@
 	at     time.Time
 }
 
+// fallSilent leaves a call without an answer. The caller holds w.mu.
+func (w *worker) fallSilent(q *http.Request) {
+	if w.hangs {
+		w.mu.Unlock()
+		<-q.Context().Done()
+		w.mu.Lock()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// boot starts a life of the worker. The caller holds w.mu.
 func (w *worker) boot() {
+	if w.runs != nil {
+		w.lose(false)
+	}
 	w.born, w.leaseEnd = time.Now(), time.Now()
 	w.fence, w.number, w.ended = 0, 0, nil
 	w.runs, w.refused, w.changed = map[string]*activeRun{}, map[string]int{}, make(chan struct{})
 	w.down = false
 }
 
-// crash ends the life of the worker; it answers nothing until boot.
-func (w *worker) crash() {
+// crash ends the life of the worker. Until boot it answers nothing: channels hang, as to a machine
+// without power, or break, as to one on which a process has ended.
+func (w *worker) crash(hang bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lose(hang)
+}
+
+// lose ends all runs without listing their ends. The caller holds w.mu.
+func (w *worker) lose(hang bool) {
 	for task, r := range w.runs {
 		if r.timer != nil {
 			r.timer.Stop()
@@ -86,7 +107,7 @@
 		w.onEnd(w, ending{task: task, run: r.run, how: "gone", at: time.Now()})
 	}
 	w.runs = map[string]*activeRun{}
-	w.down = true
+	w.down, w.hangs = true, hang
 	close(w.changed)
 	w.changed = make(chan struct{})
 	w.log.add("worker %s is down", w.id)
@@ -114,7 +135,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.down {
-		panic(http.ErrAbortHandler)
+		w.fallSilent(q)
 	}
 	if id := q.Header.Get("Expect-Instance"); id != "" && id != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -236,6 +257,7 @@
 		w.onNoted(w, e)
 	}
 	w.ended = kept
+	born := w.born
 	if len(w.ended) == 0 && o.Wait > 0 {
 		changed := w.changed
 		w.mu.Unlock()
@@ -246,8 +268,8 @@
 		}
 		w.mu.Lock()
 	}
-	if w.down {
-		panic(http.ErrAbortHandler)
+	if w.down || w.born != born {
+		w.fallSilent(q)
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range w.runs {
