--- a/review/stand2/budget.go
+++ b/review/stand2/budget.go
@@ -16,13 +16,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	const service = "00000000000000d0"
 	w.judge.budgets[service] = budget{tasks: tasks, mayMiss: mayMiss}
--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -17,7 +17,9 @@
 	mu       sync.Mutex
 	machines map[string]*machine
 	// delay is how long an order takes to be carried out.
-	delay  time.Duration
+	delay time.Duration
+	// lose is the number of the next orders that are carried out without an answer.
+	lose   int
 	orders []cloudOrder
 	waves  map[int64]waveOrder
 }
@@ -131,4 +133,8 @@
 			c.world.announce(m.worker)
 		})
 	}
+	if c.lose > 0 {
+		c.lose--
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/review/stand2/mix.go
+++ b/review/stand2/mix.go
@@ -44,13 +44,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	var mu sync.Mutex
 	jobs := map[string]*mixJob{}
@@ -82,7 +77,7 @@
 		if !j.cancelled.IsZero() && time.Since(j.cancelled) > 3*time.Second {
 			return fmt.Sprintf("UNASKED: %s starts %s after the ack of the cancelling", task, time.Since(j.cancelled))
 		}
-		if !j.lasts && w.judge.task(task).failed >= 3 {
+		if !j.lasts && w.judge.task(task).failed >= 3 && os.Getenv("ROUTES") == "" {
 			return fmt.Sprintf("BUDGET: %s run %d", task, run)
 		}
 		return ""
@@ -254,7 +249,16 @@
 		host = o
 	}
 	back := func(d time.Duration, f func()) { time.AfterFunc(d, f) }
-	switch r.IntN(10) {
+	switch r.IntN(15) {
+	case 14:
+		for i := range w.hosts {
+			w.signal(i, syscall.SIGKILL)
+			<-w.hosts[i].done
+		}
+		time.Sleep(time.Duration(r.IntN(6000)) * time.Millisecond)
+		for i := range w.hosts {
+			_ = w.start(i)
+		}
 	case 0, 1:
 		w.signal(host, syscall.SIGKILL)
 		<-w.hosts[host].done
@@ -266,7 +270,7 @@
 		_ = w.start(host)
 	case 3, 4:
 		w.signal(host, syscall.SIGSTOP)
-		time.Sleep(time.Duration(300+r.IntN(4000)) * time.Millisecond)
+		time.Sleep(time.Duration(300+r.IntN(4000)+r.IntN(2)*r.IntN(8000)) * time.Millisecond)
 		w.signal(host, syscall.SIGCONT)
 	case 5:
 		w.signal(host, syscall.SIGHUP)
@@ -283,9 +287,35 @@
 	case 8:
 		w.log.add("store: down")
 		w.store.UpdateFaults(func(f *platformstandin.RowFaults) { f.Down = true })
-		time.Sleep(time.Duration(500+r.IntN(3000)) * time.Millisecond)
+		time.Sleep(time.Duration(500+r.IntN(3000)+r.IntN(2)*r.IntN(12000)) * time.Millisecond)
 		w.store.UpdateFaults(func(f *platformstandin.RowFaults) { f.Down = false })
 		w.log.add("store: up")
+	case 10:
+		w.log.add("cloud: slow")
+		w.cloud.mu.Lock()
+		w.cloud.delay = 1200 * time.Millisecond
+		w.cloud.mu.Unlock()
+		back(6*time.Second, func() {
+			w.cloud.mu.Lock()
+			w.cloud.delay = 0
+			w.cloud.mu.Unlock()
+		})
+	case 11:
+		w.log.add("cloud: loses answers")
+		w.cloud.mu.Lock()
+		w.cloud.lose = 1 + r.IntN(3)
+		w.cloud.mu.Unlock()
+	case 12:
+		w.log.add("%d connections of %s to the store go silent", w.storeLinks[host].silence(""), w.hosts[host].name)
+	case 13:
+		if os.Getenv("ROUTES") == "" {
+			return
+		}
+		w.log.add("route off and on")
+		_ = w.setQueues([]platformstandin.Queue{{Name: "plain", Attempts: 3}})
+		back(time.Duration(500+r.IntN(3000))*time.Millisecond, func() {
+			_ = w.setQueues([]platformstandin.Queue{{Name: "plain", Attempts: 3}, {Name: "advised", Attempts: 3, Advised: true}})
+		})
 	case 9:
 		w.log.add("store: loses answers, drops its history")
 		w.store.UpdateFaults(func(f *platformstandin.RowFaults) { f.LoseAnswers = 1 + r.IntN(6) })
--- a/review/stand2/route.go
+++ b/review/stand2/route.go
@@ -23,13 +23,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	const id = "00000000000000a1"
 	task := id + ".0.0.0"
--- a/review/stand2/service.go
+++ b/review/stand2/service.go
@@ -89,13 +89,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	const service = "00000000000000d0"
 	task := service + ".0.0.0"
@@ -136,7 +131,8 @@
 	return w.judge.broken(), nil
 }
 
-// serviceBehindHopeless hands in a wide job whose tasks all fail; a task that lasts fails once.
+// serviceBehindHopeless hands in twenty jobs within three seconds, of which one is wide and can
+// never be done. A task that lasts fails once, as it may at any time.
 func serviceBehindHopeless(p play) ([]string, error) {
 	const workers, whole = 8, 16000
 	w, err := openWorld(options{hosts: 3, workers: workers, cpu: whole, queues: []platformstandin.Queue{{Name: "plain", Attempts: 4}, {Name: "other", Attempts: 4}}}, p.log, p.program, p.directory)
@@ -144,45 +140,29 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	const service = "00000000000000d0"
 	task := service + ".0.0.0"
 	if !w.submit("/plain/"+service, behaviour{CPU: 2000, Lasts: true, Failing: 1, RunMS: 9000}, []platformstandin.Step{{Tasks: 1, Processors: 2000}}, lasting) {
 		return nil, errNotAccepted
 	}
-	// Sound jobs of other requesters, one each quarter of a second.
-	stop := make(chan struct{})
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(250 * time.Millisecond):
+	time.Sleep(time.Second)
+	for n := range 20 {
+		b, tasks, estimate := behaviour{CPU: 1000, RunMS: 800}, 2, int64(800)
+		if n == 10 {
+			b, tasks, estimate = behaviour{CPU: 2000, RunMS: 4000, StepMS: 60}, 60, 6000
+			if p.trouble {
+				b.Failing = 100
 			}
-			w.submit(fmt.Sprintf("/plain/00000000000b%04x", n), behaviour{CPU: 1000, RunMS: 800}, []platformstandin.Step{{Tasks: 2, Processors: 1000, EstimateMS: 800}}, nil)
 		}
-	}()
-	time.Sleep(2 * time.Second)
-	failing := 0
-	if p.trouble {
-		failing = 100
-	}
-	if !w.submit("/other/00000000000000a0", behaviour{CPU: 2000, RunMS: 4000, StepMS: 60, Failing: failing}, []platformstandin.Step{{Tasks: 60, Processors: 2000, EstimateMS: 6000}}, nil) {
-		return nil, errNotAccepted
+		if !w.submit(fmt.Sprintf("/other/00000000000a%04x", n), b, []platformstandin.Step{{Tasks: tasks, Processors: b.CPU, EstimateMS: estimate}}, nil) {
+			return nil, errNotAccepted
+		}
+		time.Sleep(140 * time.Millisecond)
 	}
-	calm := time.Now().Add(calmBefore)
-	longest := w.watchService(task, 2000, calm, time.Now().Add(50*time.Second))
-	close(stop)
-	<-stopped
+	longest := w.watchService(task, 2000, time.Now().Add(calmBefore), time.Now().Add(60*time.Second))
 	p.log.add("longest time with nothing running and room for the task twice over: %s", longest)
 	if longest >= idleLimit {
 		return []string{fmt.Sprintf("LOST: %s had nothing running for %s although there was room for it twice over", task, longest.Round(100*time.Millisecond))}, nil
--- a/review/stand2/silent.go
+++ b/review/stand2/silent.go
@@ -24,13 +24,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	time.Sleep(2 * time.Second)
 	host := (w.owner() + 1) % len(w.hosts)
--- a/review/stand2/wave.go
+++ b/review/stand2/wave.go
@@ -23,13 +23,8 @@
 		return nil, err
 	}
 	defer w.close()
-	for i := range w.hosts {
-		if err := w.start(i); err != nil {
-			return nil, err
-		}
-	}
-	if !w.waitReady() {
-		return nil, errNotReady
+	if err := w.startAll(); err != nil {
+		return nil, err
 	}
 	const service, job = "00000000000000d0", "00000000000000a0"
 	if !w.submit("/plain/"+service, behaviour{CPU: 2000, Lasts: true}, []platformstandin.Step{{Tasks: 1, Processors: 2000}}, func(job map[string]any) {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -102,6 +103,7 @@
 		return nil, err
 	}
 	w.judge = newJudge(log)
+	closeOnSignal(w)
 	if w.storeAddr, err = serve("127.0.0.1:0", w.store.Handler()); err != nil {
 		return nil, err
 	}
@@ -255,6 +257,19 @@
 	return nil
 }
 
+// startAll starts all hosts and waits until they are ready.
+func (w *world) startAll() error {
+	for i := range w.hosts {
+		if err := w.start(i); err != nil {
+			return err
+		}
+	}
+	if !w.waitReady() {
+		return errNotReady
+	}
+	return nil
+}
+
 func (w *world) signal(i int, s syscall.Signal) {
 	w.log.add("host %s: %s", w.hosts[i].name, s)
 	_ = w.hosts[i].command.Process.Signal(s)
@@ -299,6 +314,7 @@
 	return false
 }
 
+// close ends all processes that were started.
 func (w *world) close() {
 	for _, h := range w.hosts {
 		if h.command == nil || h.command.Process == nil {
@@ -311,6 +327,17 @@
 	close(w.beats)
 }
 
+// closeOnSignal ends the processes of a deployment, and this one, on a signal.
+func closeOnSignal(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(2)
+	}()
+}
+
 // call makes a call of a requester and returns the status; 0 is no answer.
 func (w *world) call(host int, method, path string, body []byte) (int, map[string]any) {
 	request, err := http.NewRequest(method, "http://"+w.address(100, 101+host, callerPort)+path, bytes.NewReader(body))
