--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -18,6 +18,7 @@
 	"hopeless": serviceBehindHopeless,
 	"silent":   silentChannel,
 	"budget":   waveOverBudget,
+	"handover": serviceAcrossHandover,
 	"mix":      mixed,
 	"wave":     waveWaits,
 }
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -66,7 +66,9 @@
 	workers    []*worker
 	judge      *judge
 	version    int
-	beats      chan struct{}
+	// statusSeconds is a bound in the settings of the hosts.
+	statusSeconds int
+	beats         chan struct{}
 }
 
 func (w *world) address(view, number, port int) string {
@@ -91,7 +93,7 @@
 )
 
 func openWorld(o options, log *record, program, directory string) (*world, error) {
-	w := &world{directory: directory, program: program, log: log, store: platformstandin.NewRows(), beats: make(chan struct{})}
+	w := &world{directory: directory, program: program, log: log, store: platformstandin.NewRows(), beats: make(chan struct{}), statusSeconds: 120}
 	var err error
 	for n := range 200 {
 		w.network = 20 + (os.Getpid()+n)%200
@@ -162,6 +164,7 @@
 	}
 	bounds := settings["bounds"].(map[string]any)
 	bounds["max_hold_ms"], bounds["stop_ms"] = maxHold.Milliseconds(), stopTime.Milliseconds()
+	bounds["status_s"] = w.statusSeconds
 	if document, err = json.Marshal(settings); err != nil {
 		return err
 	}
