--- a/review/stand2/history.go
+++ b/review/stand2/history.go
@@ -17,8 +17,8 @@
 	askTime = 30 * time.Second
 )
 
-// ownerRemoved removes the owner's host for good, by SIGKILL, while the store keeps little of its
-// history, with and without the disruption.
+// ownerRemoved removes the owner's host for good, by SIGKILL. The store keeps little of its history,
+// also without the disruption.
 func ownerRemoved(p play) ([]string, error) {
 	w, err := openWorld(options{hosts: 3, workers: 16, cpu: 16000, queues: []platformstandin.Queue{{Name: "plain", Attempts: 4}}}, p.log, p.program, p.directory)
 	if err != nil {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -11,7 +11,7 @@
 )
 
 // cases holds the cases by name. Each returns what broke the rule, or an error if it could not
-// run. Two of them are no case of the review: "silent" was left out, and "mix" searches.
+// run. REPORT-2.md tells of those that no folder of review/ plays; mix searches at random.
 var cases = map[string]func(p play) ([]string, error){
 	"route":    routeReturns,
 	"gang":     serviceBehindGang,
