--- a/review/stand2/mix.go
+++ b/review/stand2/mix.go
@@ -74,7 +74,7 @@
 		if j.rejected {
 			return "REFUSED: " + task + " starts though all attempts were rejected"
 		}
-		if !j.cancelled.IsZero() && time.Since(j.cancelled) > 3*time.Second {
+		if !j.cancelled.IsZero() && time.Since(j.cancelled) > 4*time.Second {
 			return fmt.Sprintf("UNASKED: %s starts %s after the ack of the cancelling", task, time.Since(j.cancelled))
 		}
 		if !j.lasts && w.judge.task(task).failed >= 3 && os.Getenv("ROUTES") == "" {
--- a/review/stand2/silent.go
+++ b/review/stand2/silent.go
@@ -9,10 +9,10 @@
 	"github.com/vanillaquay/vanillaquay/platformstandin"
 )
 
-// Bounds of the small installations.
+// Bounds of tdg-quay-grown.
 const (
-	stableWindow = 4 * time.Second
-	configTime   = 2500 * time.Millisecond
+	stableWindow = 5 * time.Second
+	configTime   = 4 * time.Second
 )
 
 // silentChannel makes one open connection of one host to the store go silent, waits until the
