--- a/review/stand2/handover.go
+++ b/review/stand2/handover.go
@@ -12,7 +12,7 @@
 // serviceAcrossHandover loses the worker of a task that lasts, for good, and changes the settings
 // of the owner's host two seconds later.
 func serviceAcrossHandover(p play) ([]string, error) {
-	w, err := openWorld(options{hosts: 3, workers: 8, cpu: 16000, queues: []platformstandin.Queue{{Name: "plain", Attempts: 4}}}, p.log, p.program, p.directory)
+	w, err := openWorld(options{hosts: 3, workers: 11, cpu: 16000, queues: []platformstandin.Queue{{Name: "plain", Attempts: 4}}}, p.log, p.program, p.directory)
 	if err != nil {
 		return nil, err
 	}
--- a/review/stand2/service.go
+++ b/review/stand2/service.go
@@ -83,7 +83,7 @@
 // serviceBehindGang loses the worker of a task that lasts, for good, while the others are full
 // and a gang waits for two whole workers.
 func serviceBehindGang(p play) ([]string, error) {
-	const workers, whole = 8, 16000
+	const workers, whole = 11, 16000
 	w, err := openWorld(options{hosts: 3, workers: workers, cpu: whole, queues: []platformstandin.Queue{{Name: "plain", Attempts: 4}}}, p.log, p.program, p.directory)
 	if err != nil {
 		return nil, err
