--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -238,7 +238,12 @@
 	}
 	received := clock.Now()
 	d.ends.setLife(lists.Report.Life)
-	d.life.Store(lists.Report.Life)
+	if previous := d.life.Swap(lists.Report.Life); previous != 0 && previous != lists.Report.Life {
+		o.log.WithFields(logrus.Fields{
+			"worker": w.ID, "previous": previous, "life": lists.Report.Life, "age_ms": (received - sent).Milliseconds(), "acked": acked, "granted": until != 0,
+			"running": len(lists.Report.Running), "ended": len(lists.Report.Ended),
+		}).Warn("scheduler: another life of the worker answered")
+	}
 	offset := time.Duration(lists.Clock)*time.Millisecond - received
 	if d.clockOffset.Swap(&offset) == nil {
 		o.log.WithFields(logrus.Fields{"worker": w.ID, "life": lists.Report.Life}).Info("scheduler: worker heard")
