platform, scheduler, carrier: a call is for one life of a worker

Cause: the end of a lease is a time on the worker's clock, which starts anew when the worker starts again; the numbers of its ends do too. The owner learns of the new life seconds later, and nothing in a call tells the lives apart. A hold or a start that was meant for the earlier life and reached the new one named a time some 13 s ahead, which the worker shortened to the longest lease that it grants (10 s). The owner counted with its own 4 s and started the tasks elsewhere. The same holds told the new life to discard ends up to 56 that it had not reported yet.

Why this works: a connection ends with the process that it leads to. A call now names the life that it is for, and goes only over connections on which that life has answered a hold without a lease and without an acknowledgement. A life that is found instead is reported, with nothing carried out, and the session holds it at once. A report that arrives after that of a later life is ignored. Batches for carriers have the lives beside the calls, so that hosts of earlier versions can read them.

Tests of the old signatures name an instance in place of an address and an ID; the tests of recorded ends pass the life that SetLife set. No assertion is changed.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -50,14 +50,14 @@
 // seconds.
 func (c *Carrier) HandleCalls(ctx context.Context, owner string, batch Calls) {
 	received, requester := clock.Now(), ownerTenure{owner, batch.Fence}
-	for _, each := range batch.Calls {
+	for n, each := range batch.Calls {
 		if !c.acquireSlot() {
 			c.queueAnswer(requester, Answer{Number: each.Number, Order: cell.Unsent, Why: "the carrier has too many calls"})
 			continue
 		}
 		go func() {
 			defer c.releaseSlot()
-			c.queueAnswer(requester, c.execute(ctx, received, batch.Fence, each))
+			c.queueAnswer(requester, c.execute(ctx, received, batch.Fence, batch.instance(n), each))
 		}()
 	}
 }
@@ -80,7 +80,7 @@
 
 // execute makes one call, unless its owner has been replaced or this host was suspended
 // since it received the call.
-func (c *Carrier) execute(ctx context.Context, received time.Duration, fence int64, call Call) Answer {
+func (c *Carrier) execute(ctx context.Context, received time.Duration, fence int64, i platform.Instance, call Call) Answer {
 	if known := c.fence(); known > fence {
 		return Answer{Number: call.Number, Order: cell.Fenced, Why: "the carrier knows of a later owner"}
 	}
@@ -89,30 +89,33 @@
 	}
 	switch call.Verb {
 	case Hold:
-		return c.hold(ctx, fence, call)
+		return c.hold(ctx, fence, i, call)
 	case Start:
 		return Answer{Number: call.Number, Order: c.workers.Start(ctx, platform.StartOrder{
-			Address: call.Address, Worker: call.Worker, Task: call.Task, Run: call.Run, Spec: call.Spec, LeaseUntil: call.Until, FencingToken: fence,
+			Instance: i, Task: call.Task, Run: call.Run, Spec: call.Spec, LeaseUntil: call.Until, FencingToken: fence,
 			Checkpoint: call.Checkpoint, Ticket: call.Ticket,
 		})}
 	case Stop:
-		return Answer{Number: call.Number, Order: c.workers.Stop(ctx, call.Address, call.Worker, call.Task, call.Run, fence)}
+		return Answer{Number: call.Number, Order: c.workers.Stop(ctx, i, call.Task, call.Run, fence)}
 	case Pace:
-		return Answer{Number: call.Number, Order: c.workers.Pace(ctx, call.Address, call.Worker, call.Task, call.Run, fence, call.Percent)}
+		return Answer{Number: call.Number, Order: c.workers.Pace(ctx, i, call.Task, call.Run, fence, call.Percent)}
 	default:
 		return Answer{Number: call.Number, Order: cell.Invalid, Why: "unknown verb"}
 	}
 }
 
-func (c *Carrier) hold(ctx context.Context, fence int64, call Call) Answer {
-	lists, err := c.workers.Hold(ctx, call.Address, call.Worker, fence, call.Seen, call.Until, call.Wait)
+func (c *Carrier) hold(ctx context.Context, fence int64, i platform.Instance, call Call) Answer {
+	lists, err := c.workers.Hold(ctx, i, fence, call.Seen, call.Until, call.Wait)
 	if err == nil {
 		return Answer{Number: call.Number, Order: cell.Accepted, Lists: encodeLists(lists)}
 	}
 	a := Answer{Number: call.Number, Order: cell.NoAnswer, Why: err.Error()}
+	var other cell.OtherLifeError
 	switch {
 	case errors.Is(err, cell.ErrFenced):
 		a.Order = cell.Fenced
+	case errors.As(err, &other):
+		a.Order, a.Lists = cell.OtherLife, &Lists{Life: other.Life}
 	case errors.Is(err, cell.ErrOtherLife):
 		a.Order = cell.OtherLife
 	}
--- a/carrier/export_test.go
+++ b/carrier/export_test.go
@@ -9,7 +9,7 @@
 
 // Execute calls execute.
 func (c *Carrier) Execute(ctx context.Context, received time.Duration, fence int64, call Call) Answer {
-	return c.execute(ctx, received, fence, call)
+	return c.execute(ctx, received, fence, Calls{Calls: []Call{call}}.instance(0), call)
 }
 
 // EncodeLists exports encodeLists.
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -12,6 +12,24 @@
 type Calls struct {
 	Fence int64  `cbor:"1,keyasint"`
 	Calls []Call `cbor:"2,keyasint"`
+	// Lives holds the life of the worker that each call is for. Hosts of earlier versions do not
+	// send it, and ignore it.
+	Lives []int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// add adds a call to the batch.
+func (c *Calls) add(call Call, life int64) {
+	c.Calls, c.Lives = append(c.Calls, call), append(c.Lives, life)
+}
+
+// instance returns the life of a worker that call number i of the batch is for.
+func (c Calls) instance(i int) platform.Instance {
+	call := c.Calls[i]
+	target := platform.Instance{Address: call.Address, Worker: call.Worker}
+	if i < len(c.Lives) {
+		target.Life = c.Lives[i]
+	}
+	return target
 }
 
 // Verb is the kind of a call.
@@ -63,7 +81,8 @@
 	Order cell.Answer
 	// Why describes the failure of a hold, or why the carrier did not make the call.
 	Why string
-	// Lists is the answer to a hold; nil if it failed.
+	// Lists is the answer to a hold; nil if it failed. If the worker has another life, only
+	// that is set.
 	Lists *Lists
 }
 
--- a/carrier/relay.go
+++ b/carrier/relay.go
@@ -43,9 +43,9 @@
 // Workers calls workers.
 type Workers interface {
 	Start(ctx context.Context, s platform.StartOrder) cell.Answer
-	Stop(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64) cell.Answer
-	Pace(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64, percent int) cell.Answer
-	Hold(ctx context.Context, address, worker string, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error)
+	Stop(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64) cell.Answer
+	Pace(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64, percent int) cell.Answer
+	Hold(ctx context.Context, i platform.Instance, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error)
 }
 
 // Peers gives access to the other entry hosts.
@@ -117,8 +117,8 @@
 
 // Start implements Workers.
 func (r *Relay) Start(ctx context.Context, s platform.StartOrder) cell.Answer {
-	answer, err := r.forwardOrder(ctx, s.FencingToken, Call{
-		Verb: Start, Address: s.Address, Worker: s.Worker, Task: s.Task, Run: s.Run, Until: s.LeaseUntil,
+	answer, err := r.forwardOrder(ctx, s.FencingToken, s.Instance, Call{
+		Verb: Start, Task: s.Task, Run: s.Run, Until: s.LeaseUntil,
 		Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 	})
 	if errors.Is(err, errNotForwarded) {
@@ -128,33 +128,35 @@
 }
 
 // Stop implements Workers.
-func (r *Relay) Stop(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64) cell.Answer {
-	answer, err := r.forwardOrder(ctx, fence, Call{Verb: Stop, Address: address, Worker: worker, Task: id, Run: run})
+func (r *Relay) Stop(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64) cell.Answer {
+	answer, err := r.forwardOrder(ctx, fence, i, Call{Verb: Stop, Task: id, Run: run})
 	if errors.Is(err, errNotForwarded) {
-		return r.direct.Stop(ctx, address, worker, id, run, fence)
+		return r.direct.Stop(ctx, i, id, run, fence)
 	}
 	return answer
 }
 
 // Pace implements Workers.
-func (r *Relay) Pace(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64, percent int) cell.Answer {
-	answer, err := r.forwardOrder(ctx, fence, Call{Verb: Pace, Address: address, Worker: worker, Task: id, Run: run, Percent: percent})
+func (r *Relay) Pace(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64, percent int) cell.Answer {
+	answer, err := r.forwardOrder(ctx, fence, i, Call{Verb: Pace, Task: id, Run: run, Percent: percent})
 	if errors.Is(err, errNotForwarded) {
-		return r.direct.Pace(ctx, address, worker, id, run, fence, percent)
+		return r.direct.Pace(ctx, i, id, run, fence, percent)
 	}
 	return answer
 }
 
 // Hold implements Workers.
-func (r *Relay) Hold(ctx context.Context, address, worker string, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
+func (r *Relay) Hold(ctx context.Context, i platform.Instance, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
 	limited, cancel := context.WithTimeout(ctx, wait+holdSlack)
 	defer cancel()
-	answer, err := r.forward(limited, fence, Call{Verb: Hold, Address: address, Worker: worker, Seen: acked, Until: until, Wait: wait}, holdBatchDelay)
+	answer, err := r.forward(limited, fence, i, Call{Verb: Hold, Seen: acked, Until: until, Wait: wait}, holdBatchDelay)
 	switch {
 	case errors.Is(err, errNotForwarded):
-		return r.direct.Hold(ctx, address, worker, fence, acked, until, wait)
+		return r.direct.Hold(ctx, i, fence, acked, until, wait)
 	case err != nil:
 		return platform.HoldResponse{}, err
+	case answer.Order == cell.OtherLife && answer.Lists != nil:
+		return platform.HoldResponse{}, cell.OtherLifeError{Life: answer.Lists.Life}
 	case answer.Lists != nil:
 		return answer.Lists.decode(), nil
 	case answer.Order == cell.Fenced:
@@ -167,10 +169,10 @@
 }
 
 // forwardOrder forwards a call that the worker answers without waiting.
-func (r *Relay) forwardOrder(ctx context.Context, fence int64, c Call) (cell.Answer, error) {
+func (r *Relay) forwardOrder(ctx context.Context, fence int64, i platform.Instance, c Call) (cell.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	answer, err := r.forward(ctx, fence, c, orderBatchDelay)
+	answer, err := r.forward(ctx, fence, i, c, orderBatchDelay)
 	if err != nil {
 		return cell.NoAnswer, err
 	}
@@ -178,8 +180,9 @@
 }
 
 // forward sends a call to the carrier of its worker and waits for the answer.
-func (r *Relay) forward(ctx context.Context, fence int64, c Call, delay time.Duration) (Answer, error) {
-	host, number, waiting := r.enqueue(fence, c, delay)
+func (r *Relay) forward(ctx context.Context, fence int64, i platform.Instance, c Call, delay time.Duration) (Answer, error) {
+	c.Address, c.Worker = i.Address, i.Worker
+	host, number, waiting := r.enqueue(fence, c, i.Life, delay)
 	if waiting == nil {
 		return Answer{}, errNotForwarded
 	}
@@ -194,7 +197,7 @@
 
 // enqueue adds a call to the batch for its carrier. The returned channel is nil if there
 // is no carrier.
-func (r *Relay) enqueue(fence int64, c Call, delay time.Duration) (host string, number uint64, waiting chan callResult) {
+func (r *Relay) enqueue(fence int64, c Call, life int64, delay time.Duration) (host string, number uint64, waiting chan callResult) {
 	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -220,7 +223,7 @@
 	waiting = make(chan callResult, 1)
 	w.pending[c.Number] = pendingCall{fence: fence, done: waiting}
 	w.batch.Fence = fence
-	w.batch.Calls = append(w.batch.Calls, c)
+	w.batch.add(c, life)
 	r.scheduleFlush(host, w, now, delay)
 	return host, c.Number, waiting
 }
--- a/carrier/relay_test.go
+++ b/carrier/relay_test.go
@@ -49,20 +49,25 @@
 	return f.calls[worker]
 }
 
+// instanceOf returns any life of a worker.
+func instanceOf(worker string) platform.Instance {
+	return platform.Instance{Address: "a", Worker: worker}
+}
+
 func (f *fakeWorkers) Start(ctx context.Context, s platform.StartOrder) cell.Answer {
 	return f.handleCall(ctx, s.Worker)
 }
 
-func (f *fakeWorkers) Stop(ctx context.Context, _, worker string, _ workload.TaskID, _ int, _ int64) cell.Answer {
-	return f.handleCall(ctx, worker)
+func (f *fakeWorkers) Stop(ctx context.Context, i platform.Instance, _ workload.TaskID, _ int, _ int64) cell.Answer {
+	return f.handleCall(ctx, i.Worker)
 }
 
-func (f *fakeWorkers) Pace(ctx context.Context, _, worker string, _ workload.TaskID, _ int, _ int64, _ int) cell.Answer {
-	return f.handleCall(ctx, worker)
+func (f *fakeWorkers) Pace(ctx context.Context, i platform.Instance, _ workload.TaskID, _ int, _ int64, _ int) cell.Answer {
+	return f.handleCall(ctx, i.Worker)
 }
 
-func (f *fakeWorkers) Hold(ctx context.Context, _, worker string, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
-	switch f.handleCall(ctx, worker) {
+func (f *fakeWorkers) Hold(ctx context.Context, i platform.Instance, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
+	switch f.handleCall(ctx, i.Worker) {
 	case cell.Accepted:
 		return platform.HoldResponse{Clock: 7, Report: report}, nil
 	case cell.Fenced:
@@ -164,11 +169,11 @@
 }
 
 func (w *cluster) start(worker string) cell.Answer {
-	return w.relay.Start(context.Background(), platform.StartOrder{Worker: worker, Address: "a", Task: taskID, Run: 1, FencingToken: 1})
+	return w.relay.Start(context.Background(), platform.StartOrder{Instance: instanceOf(worker), Task: taskID, Run: 1, FencingToken: 1})
 }
 
 func (w *cluster) hold(worker string) (platform.HoldResponse, error) {
-	return w.relay.Hold(context.Background(), "a", worker, 1, 0, 0, 0)
+	return w.relay.Hold(context.Background(), instanceOf(worker), 1, 0, 0, 0)
 }
 
 // callCount returns the number of calls that reached a worker, directly or through a
@@ -292,7 +297,7 @@
 	far.blocked = make(chan struct{})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	answer := w.relay.Stop(ctx, "a", "w1", taskID, 1, 1)
+	answer := w.relay.Stop(ctx, instanceOf("w1"), taskID, 1, 1)
 	c.Assert(answer, qt.Equals, cell.NoAnswer)
 	close(far.blocked)
 	c.Assert(w.start("w2"), qt.Equals, cell.Accepted)
@@ -315,7 +320,7 @@
 	later.remote["h0"].blocked = make(chan struct{})
 	answers := make(chan cell.Answer, 1)
 	go func() {
-		answers <- later.relay.Start(context.Background(), platform.StartOrder{Worker: "w1", Address: "a", Task: taskID, Run: 1, FencingToken: 2})
+		answers <- later.relay.Start(context.Background(), platform.StartOrder{Instance: instanceOf("w1"), Task: taskID, Run: 1, FencingToken: 2})
 	}()
 	for later.callCount("w1") == 0 {
 		time.Sleep(time.Millisecond)
--- a/cell/event.go
+++ b/cell/event.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+
 	"github.com/juju/errors"
 
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -9,10 +11,22 @@
 const (
 	// ErrFenced means that the worker has accepted a later owner of the cell.
 	ErrFenced = errors.ConstError("worker obeys a later owner")
-	// ErrOtherLife means that another worker listens at the address.
+	// ErrOtherLife means that another worker, or another life of the worker, listens at the
+	// address.
 	ErrOtherLife = errors.ConstError("another worker listens at the address")
 )
 
+// OtherLifeError is the ErrOtherLife of a worker that has started again under its ID.
+type OtherLifeError struct {
+	// Life is the life that was found.
+	Life int64
+}
+
+func (e OtherLifeError) Error() string { return fmt.Sprintf("the worker has life %d", e.Life) }
+
+// Is reports whether target is ErrOtherLife.
+func (e OtherLifeError) Is(target error) bool { return target == ErrOtherLife }
+
 // Answer is the result of an order to a worker.
 type Answer string
 
--- a/scheduler/cancel_random_test.go
+++ b/scheduler/cancel_random_test.go
@@ -200,6 +200,9 @@
 
 func (w *modelWorker) clock() int64 { return (clock.Now() - w.booted).Milliseconds() }
 
+// isMeant reports whether a call is for this life of the worker.
+func (w *modelWorker) isMeant(i platform.Instance) bool { return i.Life == 0 || i.Life == w.life }
+
 func (w *modelWorker) end(id workload.TaskID, outcome cell.Outcome) {
 	r := w.runs[id]
 	delete(w.runs, id)
@@ -241,6 +244,8 @@
 	defer m.mu.Unlock()
 	w, j, now := m.workers[s.Worker], m.jobs[s.Task.Job], clock.Now()
 	switch {
+	case !late && !w.isMeant(s.Instance):
+		return cell.OtherLife
 	case s.FencingToken < w.fence:
 		return cell.Fenced
 	case w.clock() > s.LeaseUntil:
@@ -272,14 +277,17 @@
 }
 
 // Stop implements scheduler.Workers.
-func (m *platformModel) Stop(ctx context.Context, _, worker string, id workload.TaskID, run int, fence int64) cell.Answer {
+func (m *platformModel) Stop(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64) cell.Answer {
 	if m.lose(4) {
 		<-ctx.Done()
 		return cell.NoAnswer
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := m.workers[worker]
+	w := m.workers[i.Worker]
+	if !w.isMeant(i) {
+		return cell.OtherLife
+	}
 	if fence < w.fence {
 		return cell.Fenced
 	}
@@ -291,28 +299,31 @@
 	return cell.Accepted
 }
 
-func (m *platformModel) Pace(context.Context, string, string, workload.TaskID, int, int64, int) cell.Answer {
+func (m *platformModel) Pace(context.Context, platform.Instance, workload.TaskID, int, int64, int) cell.Answer {
 	return cell.Accepted
 }
 
 // Hold implements scheduler.Workers.
-func (m *platformModel) Hold(ctx context.Context, _, worker string, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
+func (m *platformModel) Hold(ctx context.Context, i platform.Instance, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
 	if m.lose(6) {
 		timer.Sleep(ctx, wait+600*time.Millisecond)
 		return platform.HoldResponse{}, platform.ErrNoAnswer
 	}
 	for end := clock.Now() + wait; ; {
-		r, err := m.report(worker, fence, acked, until)
+		r, err := m.report(i, fence, acked, until)
 		if err != nil || len(r.Report.Ended) > 0 || clock.Now() >= end || !timer.Sleep(ctx, 20*time.Millisecond) {
 			return r, err
 		}
 	}
 }
 
-func (m *platformModel) report(worker string, fence, acked, until int64) (platform.HoldResponse, error) {
+func (m *platformModel) report(i platform.Instance, fence, acked, until int64) (platform.HoldResponse, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := m.workers[worker]
+	w := m.workers[i.Worker]
+	if !w.isMeant(i) {
+		return platform.HoldResponse{}, cell.OtherLifeError{Life: w.life}
+	}
 	if fence < w.fence {
 		return platform.HoldResponse{}, cell.ErrFenced
 	}
--- a/scheduler/distant_test.go
+++ b/scheduler/distant_test.go
@@ -40,11 +40,11 @@
 	return w.call("start "+s.Task.Job, func() { w.running[s.Task] = s.Run })
 }
 
-func (w *distantWorker) Stop(_ context.Context, _, _ string, id workload.TaskID, _ int, _ int64) cell.Answer {
+func (w *distantWorker) Stop(_ context.Context, _ platform.Instance, id workload.TaskID, _ int, _ int64) cell.Answer {
 	return w.call("stop "+id.Job, func() { delete(w.running, id) })
 }
 
-func (w *distantWorker) Hold(_ context.Context, _, _ string, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
+func (w *distantWorker) Hold(_ context.Context, _ platform.Instance, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
 	time.Sleep(w.roundTrip)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/scheduler/earlier_life_test.go
+++ b/scheduler/earlier_life_test.go
@@ -50,18 +50,24 @@
 func (w *restartingWorker) Start(ctx context.Context, s platform.StartOrder) cell.Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if s.Life != 0 && s.Life != w.life {
+		return cell.OtherLife
+	}
 	if w.life == 2 && !w.heard {
 		w.misdirected = append(w.misdirected, fmt.Sprintf("started %s until %d", s.Task, s.LeaseUntil))
 	}
 	return cell.NoAnswer
 }
 
-func (w *restartingWorker) Stop(context.Context, string, string, workload.TaskID, int, int64) cell.Answer {
+func (w *restartingWorker) Stop(context.Context, platform.Instance, workload.TaskID, int, int64) cell.Answer {
 	return cell.Accepted
 }
 
-func (w *restartingWorker) Hold(ctx context.Context, _, _ string, _, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
+func (w *restartingWorker) Hold(ctx context.Context, i platform.Instance, _, acked, until int64, wait time.Duration) (platform.HoldResponse, error) {
 	life := w.currentLife()
+	if i.Life != 0 && i.Life != life {
+		return platform.HoldResponse{}, cell.OtherLifeError{Life: life}
+	}
 	report := w.report(life, acked, until)
 	if len(report.Ended) == 0 && !timer.Sleep(ctx, wait) || w.currentLife() != life {
 		return platform.HoldResponse{}, platform.ErrNoAnswer
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -104,14 +104,11 @@
 // RecordedEnds exports recordedEnds.
 type RecordedEnds = recordedEnds
 
-// SetLife calls setLife.
-func (n *recordedEnds) SetLife(life int64) { n.setLife(life) }
-
 // Record calls record.
 func (n *recordedEnds) Record(life, number int64) { n.record(life, number) }
 
 // LastDiscardable calls lastDiscardable.
-func (n *recordedEnds) LastDiscardable() int64 { return n.lastDiscardable() }
+func (n *recordedEnds) LastDiscardable(life int64) int64 { return n.lastDiscardable(life) }
 
 // AdvanceClock calls advanceClock.
 func (o *Owner) AdvanceClock() { o.advanceClock() }
--- a/scheduler/port.go
+++ b/scheduler/port.go
@@ -10,18 +10,19 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// Workers sends calls to workers.
+// Workers sends calls to workers. A call for another life than the worker has is not carried out,
+// and results in cell.OtherLife or a cell.OtherLifeError.
 type Workers interface {
 	// SetFleet sets the workers of the cell whenever they change.
 	SetFleet(workers []workload.Worker)
 	Start(ctx context.Context, s platform.StartOrder) cell.Answer
-	Stop(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64) cell.Answer
-	Pace(ctx context.Context, address, worker string, id workload.TaskID, run int, fence int64, percent int) cell.Answer
+	Stop(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64) cell.Answer
+	Pace(ctx context.Context, i platform.Instance, id workload.TaskID, run int, fence int64, percent int) cell.Answer
 	// Hold renews the lease of a worker until the given time on the worker's clock, in
 	// milliseconds, or grants none if it is 0. It tells the worker that it may discard
 	// its run ends up to acked, and returns the worker's report. The worker may delay its
 	// answer by wait until another run ends.
-	Hold(ctx context.Context, address, worker string, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error)
+	Hold(ctx context.Context, i platform.Instance, fence, acked, until int64, wait time.Duration) (platform.HoldResponse, error)
 }
 
 // Members gives access to the entry hosts, including this one.
--- a/scheduler/reborn_test.go
+++ b/scheduler/reborn_test.go
@@ -22,7 +22,7 @@
 	life, holds atomic.Int64
 }
 
-func (w *rebornWorker) Hold(context.Context, string, string, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
+func (w *rebornWorker) Hold(context.Context, platform.Instance, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
 	w.holds.Add(1)
 	return platform.HoldResponse{Clock: clock.Now().Milliseconds(), Report: cell.Report{Life: w.life.Load(), Complete: true}}, nil
 }
--- a/scheduler/recorded_ends.go
+++ b/scheduler/recorded_ends.go
@@ -8,19 +8,10 @@
 // safe for concurrent use.
 type recordedEnds struct {
 	mu sync.Mutex
-	// currentLife is the life of the last report.
-	currentLife int64
 	// recordedLife is the life to which recordedNumber belongs.
 	recordedLife, recordedNumber int64
 }
 
-// setLife notes the life that a report came from.
-func (n *recordedEnds) setLife(life int64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.currentLife = life
-}
-
 // record notes that an end has been recorded, possibly after the worker began another
 // life.
 func (n *recordedEnds) record(life, number int64) {
@@ -39,13 +30,12 @@
 	return n.recordedLife == life && n.recordedNumber >= number
 }
 
-// lastDiscardable returns the number up to which the worker may discard its ends. It is 0
-// if no end of the current life has been recorded, because a number of an earlier life
-// would make the worker discard ends that have not been reported.
-func (n *recordedEnds) lastDiscardable() int64 {
+// lastDiscardable returns the number up to which the worker may discard its ends in a call for
+// the given life. It is 0 if no end of that life has been recorded.
+func (n *recordedEnds) lastDiscardable(life int64) int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.recordedLife != n.currentLife {
+	if n.recordedLife != life {
 		return 0
 	}
 	return n.recordedNumber
--- a/scheduler/recorded_ends_test.go
+++ b/scheduler/recorded_ends_test.go
@@ -11,12 +11,10 @@
 func TestRecordedEndsMayBeDiscarded(t *testing.T) {
 	c := qt.New(t)
 	var n scheduler.RecordedEnds
-	n.SetLife(7)
-	c.Assert(n.LastDiscardable(), qt.Equals, int64(0))
+	c.Assert(n.LastDiscardable(7), qt.Equals, int64(0))
 	n.Record(7, 3)
 	n.Record(7, 2)
-	n.SetLife(7)
-	c.Assert(n.LastDiscardable(), qt.Equals, int64(3))
+	c.Assert(n.LastDiscardable(7), qt.Equals, int64(3))
 }
 
 // A slow store confirms the transaction with the ends of one life after the worker has
@@ -25,10 +23,8 @@
 func TestEndsOfNewLifeAreNotDiscarded(t *testing.T) {
 	c := qt.New(t)
 	var n scheduler.RecordedEnds
-	n.SetLife(7)
-	n.SetLife(8)
 	n.Record(7, 57)
-	c.Assert(n.LastDiscardable(), qt.Equals, int64(0))
+	c.Assert(n.LastDiscardable(8), qt.Equals, int64(0))
 	n.Record(8, 2)
-	c.Assert(n.LastDiscardable(), qt.Equals, int64(2))
+	c.Assert(n.LastDiscardable(8), qt.Equals, int64(2))
 }
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -128,9 +128,16 @@
 	}
 	o.cell.HandleAnnouncement(now, a.worker)
 	if d := o.sessions[a.id]; d != nil {
-		if previous := d.worker.Swap(&a.worker); previous.Address != a.worker.Address || previous.Life != a.worker.Life {
+		previous := d.worker.Swap(&a.worker)
+		if previous.Address != a.worker.Address || previous.Life != a.worker.Life {
 			d.requestHold()
 		}
+		if previous.Life != a.worker.Life {
+			life, _, _ := d.life.get()
+			d.life.replace(life, a.worker.Life)
+			// The hold in flight may be that of a process that has ended.
+			d.requestPoll()
+		}
 		d.missingSince = 0
 	}
 }
--- a/scheduler/revoked_test.go
+++ b/scheduler/revoked_test.go
@@ -61,11 +61,11 @@
 	}
 }
 
-func (w *slowWorker) Stop(context.Context, string, string, workload.TaskID, int, int64) cell.Answer {
+func (w *slowWorker) Stop(context.Context, platform.Instance, workload.TaskID, int, int64) cell.Answer {
 	return cell.Accepted
 }
 
-func (w *slowWorker) Hold(context.Context, string, string, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
+func (w *slowWorker) Hold(context.Context, platform.Instance, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
 	return platform.HoldResponse{Clock: clock.Now().Milliseconds(), Report: cell.Report{Life: 1, Complete: true}}, nil
 }
 
--- a/scheduler/sessions_test.go
+++ b/scheduler/sessions_test.go
@@ -31,15 +31,15 @@
 
 func (f *fakeWorkers) Start(context.Context, platform.StartOrder) cell.Answer { return cell.Unreached }
 
-func (f *fakeWorkers) Stop(context.Context, string, string, workload.TaskID, int, int64) cell.Answer {
+func (f *fakeWorkers) Stop(context.Context, platform.Instance, workload.TaskID, int, int64) cell.Answer {
 	return cell.Unreached
 }
 
-func (f *fakeWorkers) Pace(context.Context, string, string, workload.TaskID, int, int64, int) cell.Answer {
+func (f *fakeWorkers) Pace(context.Context, platform.Instance, workload.TaskID, int, int64, int) cell.Answer {
 	return cell.Unreached
 }
 
-func (f *fakeWorkers) Hold(context.Context, string, string, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
+func (f *fakeWorkers) Hold(context.Context, platform.Instance, int64, int64, int64, time.Duration) (platform.HoldResponse, error) {
 	return platform.HoldResponse{}, errors.New("out of reach")
 }
 
--- a/scheduler/unheard_test.go
+++ b/scheduler/unheard_test.go
@@ -53,11 +53,11 @@
 	holds     map[string]int
 }
 
-func (w *unreachableWorkers) Hold(_ context.Context, address, _ string, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
+func (w *unreachableWorkers) Hold(_ context.Context, i platform.Instance, _, _, _ int64, _ time.Duration) (platform.HoldResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.holds[address]++
-	if address != w.reachable {
+	w.holds[i.Address]++
+	if i.Address != w.reachable {
 		return platform.HoldResponse{}, errors.New("out of reach")
 	}
 	return platform.HoldResponse{Clock: clock.Now().Milliseconds(), Report: cell.Report{Life: 1, Complete: true}}, nil
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -56,11 +56,9 @@
 	cancel context.CancelFunc
 	// ends tracks the run ends that the worker may discard.
 	ends recordedEnds
-	// clockOffset is the worker's clock minus this host's; nil if the last hold had no
-	// answer.
-	clockOffset atomic.Pointer[time.Duration]
-	// life is the incarnation that answered the last hold.
-	life atomic.Int64
+	// life is the life of the worker that calls are meant for: the one that was announced or
+	// found last.
+	life currentLife
 	// runsSharedServices reports whether the worker runs services beside fillers.
 	runsSharedServices atomic.Bool
 	// idlePause is how long the idle worker needs no hold, in nanoseconds.
@@ -119,6 +117,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d := &workerSession{owner: o, orders: newOrderQueue(), polls: ring.New[struct{}](1), wake: ring.New[struct{}](1), cancel: cancel}
 	d.worker.Store(&w)
+	d.life.replace(0, w.Life)
 	o.group.Add(2)
 	go func() {
 		defer o.group.Done()
@@ -212,50 +211,78 @@
 	}
 }
 
-// sendHold sends one hold, which returns the worker's report and renews its lease. A
-// worker that did not answer the last hold gets no lease, so that its runs end. It
-// reports whether the worker answered.
+// instance returns the life of the worker that calls are sent to.
+func (d *workerSession) instance() platform.Instance {
+	w := d.worker.Load()
+	life, _, _ := d.life.get()
+	return platform.Instance{Address: w.Address, Worker: w.ID, Life: life}
+}
+
+// sendHold sends one hold, which returns the worker's report and renews its lease. If the worker
+// has another life, the hold is sent again to that one. It reports whether the worker answered.
 func (d *workerSession) sendHold(ctx context.Context, wait time.Duration) bool {
-	o, w := d.owner, d.worker.Load()
+	previous := d.instance()
+	err := d.holdInstance(ctx, previous, wait)
+	var other cell.OtherLifeError
+	if errors.As(err, &other) {
+		d.owner.log.WithFields(logrus.Fields{"worker": previous.Worker, "previous": previous.Life, "life": other.Life}).Info("scheduler: worker has another life")
+		d.life.replace(previous.Life, other.Life)
+		err = d.holdInstance(ctx, d.instance(), 0)
+	}
+	return err == nil
+}
+
+// holdInstance sends one hold to a life of the worker. A worker that did not answer the last
+// hold gets no lease, so that its runs end.
+func (d *workerSession) holdInstance(ctx context.Context, i platform.Instance, wait time.Duration) error {
+	o := d.owner
 	sent := clock.Now()
 	if !o.mayGiveOrders(sent) {
-		return false
+		return platform.ErrNotSent
 	}
 	var until, acked int64
-	if offset := d.clockOffset.Load(); offset != nil {
-		until = (sent + *offset + o.options.CellOptions.Lease).Milliseconds()
-		o.enqueue(ctx, func(time.Duration) { o.cell.RecordGrant(sent, w.ID) })
-		acked = d.ends.lastDiscardable()
+	if life, offset, heard := d.life.get(); heard && life == i.Life {
+		until = (sent + offset + o.options.CellOptions.Lease).Milliseconds()
+		o.enqueue(ctx, func(time.Duration) { o.cell.RecordGrant(sent, i.Worker) })
+		acked = d.ends.lastDiscardable(i.Life)
 	}
 	o.counters.Holds.Add(1)
-	lists, err := o.workers.Hold(ctx, w.Address, w.ID, o.Fence(), acked, until, wait)
+	lists, err := o.workers.Hold(ctx, i, o.Fence(), acked, until, wait)
 	if ctx.Err() != nil {
-		return false
-	}
-	if err != nil {
-		d.handleSilence(err)
-		return false
+		return ctx.Err()
 	}
-	received := clock.Now()
-	d.ends.setLife(lists.Report.Life)
-	if previous := d.life.Swap(lists.Report.Life); previous != 0 && previous != lists.Report.Life {
+	if err == nil && i.Life != 0 && lists.Report.Life != i.Life {
+		// The carrier is of a version that does not tell lives apart.
 		o.log.WithFields(logrus.Fields{
-			"worker": w.ID, "previous": previous, "life": lists.Report.Life, "age_ms": (received - sent).Milliseconds(), "acked": acked, "granted": until != 0,
+			"worker": i.Worker, "previous": i.Life, "life": lists.Report.Life, "age_ms": (clock.Now() - sent).Milliseconds(), "acked": acked, "granted": until != 0,
 			"running": len(lists.Report.Running), "ended": len(lists.Report.Ended),
 		}).Warn("scheduler: another life of the worker answered")
+		err = cell.OtherLifeError{Life: lists.Report.Life}
 	}
-	offset := time.Duration(lists.Clock)*time.Millisecond - received
-	if d.clockOffset.Swap(&offset) == nil {
-		o.log.WithFields(logrus.Fields{"worker": w.ID, "life": lists.Report.Life}).Info("scheduler: worker heard")
+	if err != nil {
+		d.handleSilence(i.Life, err)
+		return err
 	}
-	o.enqueue(ctx, func(now time.Duration) { d.handleReport(now, sent, w.ID, lists.Report) })
-	return true
+	received := clock.Now()
+	d.life.replace(0, lists.Report.Life)
+	current, before := d.life.setHeard(lists.Report.Life, time.Duration(lists.Clock)*time.Millisecond-received)
+	if !current {
+		return cell.ErrOtherLife
+	}
+	if !before {
+		o.log.WithFields(logrus.Fields{"worker": i.Worker, "life": lists.Report.Life}).Info("scheduler: worker heard")
+	}
+	o.enqueue(ctx, func(now time.Duration) { d.handleReport(now, sent, i.Worker, lists.Report) })
+	return nil
 }
 
 // handleReport passes a report to the cell, and lets the worker discard its ends once
-// they are recorded.
+// they are recorded. A report that was overtaken by one of a later life is ignored.
 func (d *workerSession) handleReport(now, sent time.Duration, id string, report cell.Report) {
 	o := d.owner
+	if life, _, _ := d.life.get(); life != report.Life {
+		return
+	}
 	number := o.cell.HandleReport(now, sent, id, report)
 	d.runsSharedServices.Store(o.cell.NeedsPacing(id))
 	d.idlePause.Store(int64(o.cell.IdlePollDelay(id)))
@@ -268,15 +295,14 @@
 	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{table: ledger.ProgressTable}}, run: func() { d.ends.record(report.Life, number) }})
 }
 
-// handleSilence handles a hold without an answer. The worker may have another life when
-// it answers again, so its clock offset is discarded.
-func (d *workerSession) handleSilence(err error) {
+// handleSilence handles a hold that a life of the worker did not answer.
+func (d *workerSession) handleSilence(life int64, err error) {
 	o := d.owner
 	if errors.Is(err, cell.ErrFenced) {
 		o.counters.Fenced.Add(1)
 		o.Supersede()
 	}
-	if d.clockOffset.Swap(nil) != nil {
+	if d.life.setSilent(life) {
 		o.log.WithFields(logrus.Fields{"worker": d.worker.Load().ID, "why": err.Error()}).Warn("scheduler: worker silent")
 	}
 }
@@ -290,14 +316,15 @@
 		return a
 	}
 	sent := clock.Now()
-	offset := d.clockOffset.Load()
-	if offset == nil || d.life.Load() != s.Worker.Life || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || !s.Claim() {
+	life, offset, heard := d.life.get()
+	if !heard || life != s.Worker.Life || !o.mayGiveOrders(sent) || sent-queuedAt > maxOrderQueueTime || !s.Claim() {
 		return answered(cell.Unsent)
 	}
 	o.enqueue(ctx, func(time.Duration) { o.cell.RecordGrant(sent, w.ID) })
 	start := platform.StartOrder{
-		Address: w.Address, Worker: w.ID, Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		FencingToken: o.Fence(), LeaseUntil: (sent + *offset + o.options.CellOptions.StartLease).Milliseconds(),
+		Instance: platform.Instance{Address: w.Address, Worker: w.ID, Life: life},
+		Task:     s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+		FencingToken: o.Fence(), LeaseUntil: (sent + offset + o.options.CellOptions.StartLease).Milliseconds(),
 	}
 	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
 		if !s.Claim() {
@@ -307,29 +334,32 @@
 	})
 	o.counters.Starts.Add(1)
 	o.counters.Order.Record(clock.Now() - sent)
+	if answer == cell.OtherLife {
+		d.requestPoll()
+	}
 	return answered(answer)
 }
 
 // sendStop sends an order to stop, unless the worker has never been told to start the run.
 func (d *workerSession) sendStop(ctx context.Context, s cell.Stop) cell.Answer {
-	o, w := d.owner, d.worker.Load()
+	o, i := d.owner, d.instance()
 	if !o.mayGiveOrders(clock.Now()) || !s.IsNeeded() {
 		return cell.Unsent
 	}
 	answer := sendCopies(ctx, func(ctx context.Context) cell.Answer {
-		return o.workers.Stop(ctx, w.Address, w.ID, s.Task, s.Run, o.Fence())
+		return o.workers.Stop(ctx, i, s.Task, s.Run, o.Fence())
 	})
 	o.counters.Stops.Add(1)
-	o.enqueue(ctx, func(now time.Duration) { o.cell.HandleStopAnswer(now, s.Task, s.Run, w.ID, answer) })
+	o.enqueue(ctx, func(now time.Duration) { o.cell.HandleStopAnswer(now, s.Task, s.Run, i.Worker, answer) })
 	return answer
 }
 
 func (d *workerSession) sendPace(ctx context.Context, p cell.Pace) cell.Answer {
-	o, w := d.owner, d.worker.Load()
+	o := d.owner
 	if !o.mayGiveOrders(clock.Now()) {
 		return cell.Unsent
 	}
-	answer := o.workers.Pace(ctx, w.Address, w.ID, p.Task, p.Run, o.Fence(), p.Percent)
+	answer := o.workers.Pace(ctx, d.instance(), p.Task, p.Run, o.Fence(), p.Percent)
 	o.enqueue(ctx, func(time.Duration) { o.cell.HandlePaceAnswer(p, answer) })
 	return answer
 }
