soak: workers that start again and soon can't be reached

The soak restarted workers with their connections cut, and announced them at once, so that the owner learned of the new life from the failed call, and it made no worker unreachable soon after.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,7 +29,8 @@
 	Hosts     int           `help:"How many entry hosts run, each a process." default:"6"`
 	Workers   int           `help:"How many workers there are." default:"8"`
 	Callers   int           `help:"How many callers there are." default:"16"`
-	Takeovers bool          `help:"Make takeovers in short succession only."`
+	Takeovers bool          `help:"Make takeovers in short succession only." xor:"faults"`
+	Crashes   bool          `help:"Make workers start again under their IDs and become unreachable only." xor:"faults"`
 	Program   string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
 	Report    string        `help:"File that takes the report." default:"target/soak.json" type:"path"`
 	Directory string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
@@ -55,7 +56,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: c.Seed, Length: c.Length, Hosts: c.Hosts, Workers: c.Workers, Callers: c.Callers, Takeovers: c.Takeovers,
+		Seed: c.Seed, Length: c.Length, Hosts: c.Hosts, Workers: c.Workers, Callers: c.Callers, Takeovers: c.Takeovers, Crashes: c.Crashes,
 		Program: []string{c.Program, "front"}, Directory: directory,
 	})
 	if err != nil {
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -20,6 +20,8 @@
 	linkDelay  = 150 * time.Millisecond
 	// ownerTimeout bounds the search for the owner, as some hosts may be paused.
 	ownerTimeout = 100 * time.Millisecond
+	// announceDelay is how long after its start a worker that crashed writes its row.
+	announceDelay = 300 * time.Millisecond
 )
 
 // injector injects the faults of a plan.
@@ -113,7 +115,7 @@
 	case Pause:
 		h.signal(syscall.SIGSTOP)
 		return func() { h.signal(syscall.SIGCONT) }
-	case RestartWorker, MuteWorker, DrainWorker:
+	case RestartWorker, MuteWorker, DrainWorker, CrashWorker:
 		return i.injectWorkerFault(f)
 	case StoreDown, StoreSlow, LoseAnswers, DropHistory:
 		return i.injectStoreFault(f)
@@ -152,6 +154,17 @@
 			i.cutWorker(f.Worker, true)
 			i.restartWorker(f.Worker)
 		}
+	case CrashWorker:
+		w.Restart()
+		i.forLinksOf(f.Worker, func(p *proxytest.Proxy) {
+			p.Blackhole(true, true)
+			p.Pause(true)
+		})
+		return func() {
+			w.Restart()
+			i.forLinksOf(f.Worker, func(p *proxytest.Proxy) { p.Pause(false) })
+			time.AfterFunc(announceDelay, func() { i.putWorkerRow(f.Worker, platformstandin.StateReady) })
+		}
 	default:
 		// Cutting the connections drops what is in flight to the worker's earlier life.
 		i.cutWorker(f.Worker, true)
@@ -175,8 +188,13 @@
 
 // cutWorker disconnects a worker from all hosts, or reconnects it.
 func (i *injector) cutWorker(worker int, cut bool) {
+	i.forLinksOf(worker, func(p *proxytest.Proxy) { p.Cut(cut) })
+}
+
+// forLinksOf calls change for the links of all hosts to a worker.
+func (i *injector) forLinksOf(worker int, change func(p *proxytest.Proxy)) {
 	for _, links := range i.cell.workerLinks {
-		links[worker].Cut(cut)
+		change(links[worker])
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,9 @@
 	// RestartWorker and MuteWorker are faults of the worker itself.
 	RestartWorker Kind = "RestartWorker"
 	MuteWorker    Kind = "MuteWorker"
+	// CrashWorker ends a worker without a word on its connections, and starts it again under
+	// its ID after the length of the fault.
+	CrashWorker Kind = "CrashWorker"
 )
 
 var (
@@ -109,6 +112,18 @@
 	// which is above the time in which an owner is replaced.
 	minTakeoverInterval, maxTakeoverInterval = 900 * time.Millisecond, 2500 * time.Millisecond
 	minTakeoverFault, maxTakeoverFault       = 1200 * time.Millisecond, 4 * time.Second
+	// crashInterval is the time between two series of crashes, in which leases lapse and the
+	// tasks that were lost run again.
+	crashInterval = 14 * time.Second
+	// crashRatio is the share of the workers that crash in a series.
+	crashRatio = 0.5
+	// Bounds of the time for which a crashed worker is down, and of that for which it may be
+	// reached after it. The next fault begins while a lease by the clock of its earlier life
+	// would last longer than the owner of the cell counts.
+	minCrash, maxCrash     = 200 * time.Millisecond, 800 * time.Millisecond
+	minReached, maxReached = 600 * time.Millisecond, 1800 * time.Millisecond
+	// Bounds of the time for which it then leaves all calls unanswered.
+	minMute, maxMute = 5 * time.Second, 8 * time.Second
 	// Bounds of the calm periods of a run with takeovers only.
 	minTakeoverCalm, maxTakeoverCalm = calmWindow + maxCancelDelay + maxStopTime + time.Second, 11 * time.Second
 )
@@ -150,6 +165,30 @@
 	return plan
 }
 
+// NewCrashPlan draws the faults of a run in which workers start again under their IDs and soon
+// cannot be reached, in order.
+func NewCrashPlan(seed uint64, length time.Duration, workers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, takeoverStream))
+	var plan []Fault
+	for at := 4 * time.Second; at < length; at += crashInterval {
+		for w := range workers {
+			if r.Float64() >= crashRatio {
+				continue
+			}
+			crash := Fault{Kind: CrashWorker, At: at, Length: between(r, minCrash, maxCrash), Worker: w, There: true, Back: true}
+			mute := Fault{Kind: MuteWorker, At: at + crash.Length + between(r, minReached, maxReached), Length: between(r, minMute, maxMute), Worker: w, There: true}
+			for _, f := range []Fault{crash, mute} {
+				if f.At < length {
+					f.Length = min(f.Length, length-f.At)
+					plan = append(plan, f)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
 func isPlanned(kinds []Kind) bool {
 	return !slices.ContainsFunc(kinds, func(k Kind) bool { return !k.Planned() })
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -100,3 +100,31 @@
 		}
 	})
 }
+
+// Guards against plans in which no worker that has started again is soon unreachable, faults of
+// workers that don't exist, and faults beyond the end of the run.
+func TestCrashPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		length := time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second
+		workers := rapid.IntRange(1, 40).Draw(t, "workers")
+		plan := soak.NewCrashPlan(seed, length, workers)
+		if again := soak.NewCrashPlan(seed, length, workers); !slices.Equal(again, plan) {
+			t.Fatalf("the same seed gave two plans: %v and %v", plan, again)
+		}
+		started := map[int]time.Duration{}
+		var last time.Duration
+		for _, f := range plan {
+			if f.At < last || f.At+f.Length > length || f.Worker >= workers {
+				t.Fatalf("invalid fault: %+v", f)
+			}
+			last = f.At
+			switch reached := f.At - started[f.Worker]; {
+			case f.Kind == soak.CrashWorker:
+				started[f.Worker] = f.At + f.Length
+			case reached <= 0 || reached > 2*time.Second:
+				t.Fatalf("unreachable %s after the start: %+v", reached, f)
+			}
+		}
+	})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,6 +35,9 @@
 	Hosts, Workers, Callers int
 	// Takeovers reports whether the only faults are takeovers in short succession.
 	Takeovers bool
+	// Crashes reports whether the only faults are workers that start again under their IDs and
+	// soon cannot be reached.
+	Crashes bool
 	// Program is the path and the arguments that start a host.
 	Program []string
 	// Directory holds the settings and logs of the hosts.
@@ -43,10 +46,14 @@
 
 // plan draws the faults of the run.
 func (o Options) plan() []Fault {
-	if o.Takeovers {
+	switch {
+	case o.Takeovers:
 		return NewTakeoverPlan(o.Seed, o.Length, o.Hosts)
+	case o.Crashes:
+		return NewCrashPlan(o.Seed, o.Length, o.Workers)
+	default:
+		return NewPlan(o.Seed, o.Length, o.Hosts, o.Workers)
 	}
-	return NewPlan(o.Seed, o.Length, o.Hosts, o.Workers)
 }
 
 // Run runs hosts among stand-ins, injects faults, and returns a report. It returns an error
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,11 +18,15 @@
 	seed      uint64
 	length    time.Duration
 	takeovers bool
+	crashes   bool
 }{
 	{seed: 3, length: 20 * time.Second},
 	// A host that was paused and replaced as the owner acknowledged cancellations of jobs that
 	// its successor had accepted, and cancellations overtook the submissions of their jobs.
 	{seed: 3, length: 15 * time.Second, takeovers: true},
+	// Workers that had started again under their IDs took leases by the clock of their earlier
+	// lives, and ran tasks on that the owner had started elsewhere.
+	{seed: 3, length: 20 * time.Second, crashes: true},
 }
 
 // Six hosts in separate processes keep the rules while faults overlap. Long runs are made
@@ -31,7 +35,7 @@
 	for _, run := range runs {
 		seed := run.seed
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Length: run.length, Takeovers: run.takeovers, Hosts: 6, Workers: 8, Callers: 16,
+			Seed: seed, Length: run.length, Takeovers: run.takeovers, Crashes: run.crashes, Hosts: 6, Workers: 8, Callers: 16,
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
