cell, scheduler: a copy of an accepted start is excluded in the next life

What callers would see: a task that runs twice (TWICE), if the first copy of an order to start has no answer, the second one is accepted, the worker starts again, and the next life carries out the first copy late.

Cause: the answer to the second copy settled the order, and the run, which the next life does not list, was closed at once. Only a run whose order had no answer at all is stopped first. The next life has been told of no stop, and its worker's ID and the fencing token are those of the order.

Why this works: an order remembers that a copy had no answer. If a report of another life lacks the run, it is stopped there before its task starts again; a worker refuses a run that it was told to stop. Runs without such a copy are replaced at once, as before.

--- a/cell/action.go
+++ b/cell/action.go
@@ -25,6 +25,14 @@
 // methods of the cell.
 func (s Start) Claim() bool { return s.run == nil || s.run.order.claim() }
 
+// NoteUnanswered notes that a copy of the order had no answer, so that it may still be carried
+// out. It may be called concurrently with the methods of the cell.
+func (s Start) NoteUnanswered() {
+	if s.run != nil {
+		s.run.order.noteUnanswered()
+	}
+}
+
 // Stop is an order to stop a run, or never to start it.
 type Stop struct {
 	Worker workload.Worker
--- a/cell/report.go
+++ b/cell/report.go
@@ -194,7 +194,7 @@
 		if l, ok := listed[runKey{r.id, r.number}]; ok {
 			c.confirmRun(now, r, l)
 		} else if report.Complete {
-			c.handleMissingRun(now, sent, w, r)
+			c.handleMissingRun(now, sent, w, r, report.Life)
 		}
 	}
 }
@@ -247,7 +247,7 @@
 // handleMissingRun processes a run that the report of its worker lacks. Only a report
 // requested after the last confirmation of the run is evidence, and a run that may be
 // stopping is in neither list.
-func (c *Cell) handleMissingRun(now, sent time.Duration, w *worker, r *run) {
+func (c *Cell) handleMissingRun(now, sent time.Duration, w *worker, r *run, life int64) {
 	switch r.state {
 	case placed:
 		return
@@ -264,6 +264,12 @@
 		if sent <= r.confirmedAt {
 			return
 		}
+		if life != r.worker.Life && r.order.hasUnansweredCopy() {
+			// A worker that has started again carries out a late copy unless it has been told
+			// to stop the run.
+			c.withdraw(now, r, "a copy of the order may reach the worker's next life")
+			return
+		}
 	}
 	c.applyEvent(r, "Absent")
 	if r.state == withdrawing {
--- a/cell/run.go
+++ b/cell/run.go
@@ -64,8 +64,8 @@
 type startOrder struct {
 	mu sync.Mutex
 	// isSent reports whether a copy may have been sent, isRevoked whether none may be sent
-	// any more.
-	isSent, isRevoked bool
+	// any more, and isUnanswered whether one had no answer.
+	isSent, isRevoked, isUnanswered bool
 }
 
 // claim reports whether a copy of the order may be sent now, and notes that it is.
@@ -82,6 +82,20 @@
 	o.isRevoked = true
 }
 
+func (o *startOrder) noteUnanswered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isUnanswered = true
+}
+
+// hasUnansweredCopy reports whether a copy may still be on its way, even if another one was
+// accepted.
+func (o *startOrder) hasUnansweredCopy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isUnanswered
+}
+
 // mayBeCarriedOut reports whether a worker may start the run.
 func (o *startOrder) mayBeCarriedOut() bool {
 	o.mu.Lock()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -330,7 +330,11 @@
 		if !s.Claim() {
 			return cell.Unsent
 		}
-		return o.workers.Start(ctx, start)
+		answer := o.workers.Start(ctx, start)
+		if answer == cell.NoAnswer {
+			s.NoteUnanswered()
+		}
+		return answer
 	})
 	o.counters.Starts.Add(1)
 	o.counters.Order.Record(clock.Now() - sent)
