cell: a run that another life started counts with the longest lease

What callers would see: a task that runs twice (TWICE), if a worker has started again, carries out an order for its earlier life late, and is cut off then.

Cause: a run that is listed was taken over, whichever life had started it. The order named the end of its lease on the clock of the earlier life, so that the worker holds the run for the longest lease that it accepts (10 s), while the owner counts with its own (4 s).

Why this works: a run that another life lists than the one that it was placed on is stopped, and the worker counts as having accepted the longest lease. A restored run keeps the life that its record names.

TestRunOfALateStartCountsWithTheLongestLease fails without RecordLongestLease: the task starts elsewhere within 9 s.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -10,6 +10,8 @@
 type Options struct {
 	// Lease is how long one grant allows a worker to keep its runs.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts; it shortens a longer one.
+	MaxLease time.Duration
 	// StartLease is how long an order to start remains valid after it was sent.
 	StartLease time.Duration
 	// ClockSkew is the fraction by which a lease may outlast its length because a worker's
--- a/cell/next_life_test.go
+++ b/cell/next_life_test.go
@@ -54,3 +54,34 @@
 	c.Assert(w.stops, qt.HasLen, 0)
 	c.Assert(w.starts, qt.HasLen, 2)
 }
+
+// A worker starts again, and its next life carries out an order for the earlier one late. The
+// lease is the longest that a worker accepts, as its end was named by another clock: the task
+// must not start elsewhere before it has lapsed, should the worker be cut off then (TWICE).
+func TestRunOfALateStartCountsWithTheLongestLease(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2)
+	limits := options()
+	limits.MaxLease = 10 * second
+	w.Cell = cell.New(limits)
+	w.SetCatalogue(catalogue())
+	for id := range w.workers {
+		w.HandleAnnouncement(w.now, w.workers[id].Worker)
+	}
+	w.reportAll()
+	w.answer = func(cell.Start) cell.Answer { return cell.NoAnswer }
+	w.submit(job(id(1), "Plain", 1, nil))
+	c.Assert(w.starts, qt.HasLen, 1)
+	first := w.starts[0]
+	f := w.workers[first.Worker.ID]
+	w.now += 100 * ms
+	w.restart(f.ID)
+	f.running = []cell.ActiveRun{{Task: first.Task, Run: first.Run}}
+	w.report(f.ID)
+	f.unresponsive = true
+	w.answer = nil
+	w.advance(9 * second)
+	c.Assert(w.starts, qt.HasLen, 1)
+	w.advance(3 * second)
+	c.Assert(w.starts, qt.HasLen, 2)
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -191,9 +191,13 @@
 	}
 	c.stopUnknownRuns(now, w, report)
 	for _, r := range w.sortedRuns() {
-		if l, ok := listed[runKey{r.id, r.number}]; ok {
+		l, ok := listed[runKey{r.id, r.number}]
+		switch {
+		case ok && report.Life != r.worker.Life:
+			c.handleMisdirectedRun(now, w, r)
+		case ok:
 			c.confirmRun(now, r, l)
-		} else if report.Complete {
+		case report.Complete:
 			c.handleMissingRun(now, sent, w, r, report.Life)
 		}
 	}
@@ -244,6 +248,14 @@
 	}
 }
 
+// handleMisdirectedRun stops a run that another life of the worker started than the one that it
+// was placed on. Its lease may be the longest one, as the order named its end by another clock.
+func (c *Cell) handleMisdirectedRun(now time.Duration, w *worker, r *run) {
+	r.confirmedAt = now
+	c.RecordLongestLease(now, w.ID)
+	c.withdraw(now, r, "another life of the worker started it")
+}
+
 // handleMissingRun processes a run that the report of its worker lacks. Only a report
 // requested after the last confirmation of the run is evidence, and a run that may be
 // stopping is in neither list.
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -77,7 +78,9 @@
 		c.addWorker(w)
 	}
 	w.grantedAt = max(w.grantedAt, bound)
-	r := &run{id: s.taskID(t), number: p.Run, size: s.Demand(), lasts: s.Daemon, worker: w.Worker, state: runChart.Initial(), placedAt: now, progressedAt: now, restored: true, orderedShare: unknownShare}
+	placedOn := w.Worker
+	placedOn.Life = cmp.Or(p.Life, w.Life)
+	r := &run{id: s.taskID(t), number: p.Run, size: s.Demand(), lasts: s.Daemon, worker: placedOn, state: runChart.Initial(), placedAt: now, progressedAt: now, restored: true, orderedShare: unknownShare}
 	c.applyEvent(r, "Recover")
 	// The earlier owner may have sent the order.
 	r.order.claim()
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -209,6 +209,12 @@
 	}
 }
 
+// RecordLongestLease records that a worker may have accepted the longest lease, as it carried out
+// a call that was meant for another life.
+func (c *Cell) RecordLongestLease(now time.Duration, id string) {
+	c.RecordGrant(now+max(0, c.options.MaxLease-c.options.Lease), id)
+}
+
 // leaseEnd returns the time by which a lease granted at the given time has expired on the
 // worker's clock as well.
 func (c *Cell) leaseEnd(granted time.Duration) time.Duration {
--- a/front/host.go
+++ b/front/host.go
@@ -110,7 +110,7 @@
 // cellOptions returns the limits on which the cell relies.
 func cellOptions(s platform.Settings) cell.Options {
 	return cell.Options{
-		Lease: min(maxWorkerLease, s.MaxLease), StartLease: min(maxStartLease, s.MaxLease), ClockSkew: maxClockSkew,
+		Lease: min(maxWorkerLease, s.MaxLease), MaxLease: s.MaxLease, StartLease: min(maxStartLease, s.MaxLease), ClockSkew: maxClockSkew,
 		StopTime: s.StopTime,
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -257,6 +257,7 @@
 			"worker": i.Worker, "previous": i.Life, "life": lists.Report.Life, "age_ms": (clock.Now() - sent).Milliseconds(), "acked": acked, "granted": until != 0,
 			"running": len(lists.Report.Running), "ended": len(lists.Report.Ended),
 		}).Warn("scheduler: another life of the worker answered")
+		o.enqueue(ctx, func(now time.Duration) { o.cell.RecordLongestLease(now, i.Worker) })
 		err = cell.OtherLifeError{Life: lists.Report.Life}
 	}
 	if err != nil {
