--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -290,3 +291,48 @@
 
 // AddEffect adds an effect of the next transaction.
 func (o *Owner) AddEffect(e Effect) { o.pendingEffects = append(o.pendingEffects, e) }
+
+// Session exports workerSession.
+type Session = workerSession
+
+// OpenSession returns the session of a worker, which sends nothing by itself.
+func (o *Owner) OpenSession(w workload.Worker) *Session {
+	d := &workerSession{owner: o, orders: newOrderQueue(), polls: ring.New[struct{}](1), wake: ring.New[struct{}](1), cancel: func() {}}
+	d.worker.Store(&w)
+	d.life.replace(0, w.Life)
+	o.sessions[w.ID] = d
+	return d
+}
+
+// HandleReport calls handleReport.
+func (d *workerSession) HandleReport(now, sent time.Duration, id string, report cell.Report) {
+	d.handleReport(now, sent, id, report)
+}
+
+// Life returns the life that calls are meant for.
+func (d *workerSession) Life() int64 { return d.instance().Life }
+
+// PollRequested reports whether a poll is pending.
+func (d *workerSession) PollRequested() bool { return d.polls.Depth() > 0 }
+
+// ApplyAnnouncement calls applyAnnouncement for the row of a worker.
+func (o *Owner) ApplyAnnouncement(now time.Duration, w workload.Worker) {
+	o.applyAnnouncement(now, announcement{id: w.ID, worker: w, usable: true})
+}
+
+// CurrentLife exports currentLife.
+type CurrentLife = currentLife
+
+// Get calls get.
+func (c *currentLife) Get() (life int64, clockOffset time.Duration, heard bool) { return c.get() }
+
+// Replace calls replace.
+func (c *currentLife) Replace(previous, life int64) { c.replace(previous, life) }
+
+// SetHeard calls setHeard.
+func (c *currentLife) SetHeard(life int64, clockOffset time.Duration) (current, before bool) {
+	return c.setHeard(life, clockOffset)
+}
+
+// SetSilent calls setSilent.
+func (c *currentLife) SetSilent(life int64) bool { return c.setSilent(life) }
