--- a/cell/worker.go
+++ b/cell/worker.go
@@ -47,7 +47,7 @@
 	lastReportAt time.Duration
 	// grantedAt is when the last lease was sent; runs on the worker end when it expires.
 	grantedAt time.Duration
-	// reportedLife is the incarnation in the last report, lastCountedEnd the highest number
+	// reportedLife is the life in the last report, lastCountedEnd the highest number
 	// of an ended run counted in it.
 	reportedLife, lastCountedEnd int64
 	// unknownRuns holds the runs in the last report that have no record here, with the time
@@ -162,7 +162,7 @@
 		w.revokeUnsentStarts()
 	}
 	if w.Life != announced.Life && w.Life != 0 {
-		// The failures and the speed are those of the previous incarnation.
+		// The failures and the speed are those of the previous life.
 		w.failureScore, w.pausedUntil, w.speedOffset = 0, 0, 0
 	}
 	if w.Address != announced.Address {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -225,7 +225,7 @@
 	err := d.holdInstance(ctx, previous, wait)
 	var other cell.OtherLifeError
 	if errors.As(err, &other) {
-		d.owner.log.WithFields(logrus.Fields{"worker": previous.Worker, "previous": previous.Life, "life": other.Life}).Info("scheduler: worker has another life")
+		d.owner.log.WithFields(logrus.Fields{"worker": previous.Worker, "previous": previous.Life, "life": other.Life}).Info("scheduler: worker started again")
 		d.life.replace(previous.Life, other.Life)
 		err = d.holdInstance(ctx, d.instance(), 0)
 	}
@@ -355,6 +355,9 @@
 		return o.workers.Stop(ctx, i, s.Task, s.Run, o.Fence())
 	})
 	o.counters.Stops.Add(1)
+	if answer == cell.OtherLife {
+		d.requestPoll()
+	}
 	o.enqueue(ctx, func(now time.Duration) { o.cell.HandleStopAnswer(now, s.Task, s.Run, i.Worker, answer) })
 	return answer
 }
