worker: an owner adopts only the worker that it means

What callers would see: an attempt runs again on another worker while it still runs on its first (TWICE), after the address of a worker has passed to another one and the list of workers, which may be out of date, still names the first at that address.

Cause: a call to adopt named no worker, and nobody compared the worker in the inventory with the one that the link was opened for. The inventory of the worker that has the address by now counted as that of the first, whose attempts it lacks; the owner of the rack then declares them lost at once, though they may run on under their leases for 15 s. The adoption also took the worker that is there away from its own link, as that of another session.

Why this works: Adopt names the worker. An agent that is another one refuses with 421 before it records the epoch and the session, and the client rejects an inventory of another worker, as an agent of an earlier version doesn't check (TestInventoryOfAnotherWorkerIsRejected). Both count as silence, so that the attempts of the first worker are lost only once their leases have certainly lapsed. Batches and events already carry the instance of the agent, which differs between workers too. An agent accepts calls without the name, of owners of earlier versions.

The links of the existing tests name their worker; no assertion is changed.

--- a/entry/workers.go
+++ b/entry/workers.go
@@ -29,7 +29,7 @@
 	l.session++
 	name := workerName{rack: rackName, worker: h.ID}
 	l.links[name] = worker.Open(worker.LinkOptions{
-		Owner: l.duty.host.name, Epoch: epoch, Session: l.session, Address: h.Address,
+		Worker: h.ID, Owner: l.duty.host.name, Epoch: epoch, Session: l.session, Address: h.Address,
 		Renewal: l.duty.host.workerRenewal,
 	}, &workerListener{duty: l.duty, name: name})
 }
--- a/worker/client.go
+++ b/worker/client.go
@@ -31,6 +31,8 @@
 	// ErrRestarted means that the agent has restarted and did not execute the
 	// batch.
 	ErrRestarted = errors.ConstError("agent has restarted")
+	// ErrOtherWorker means that another worker listens at the address.
+	ErrOtherWorker = errors.ConstError("another worker listens at the address")
 )
 
 // Client calls the agent of one worker. Use NewClient to create one.
@@ -53,8 +55,14 @@
 // Adopt claims the worker under an epoch and returns its inventory.
 func (c *Client) Adopt(ctx context.Context, a Adopt) (Inventory, error) {
 	var inventory Inventory
-	err := c.call(ctx, http.MethodPost, AdoptPath, CommandTimeout, a, &inventory)
-	return inventory, err
+	if err := c.call(ctx, http.MethodPost, AdoptPath, CommandTimeout, a, &inventory); err != nil {
+		return Inventory{}, err
+	}
+	if inventory.Worker != a.Worker {
+		// An agent of an earlier version does not check which worker is meant.
+		return Inventory{}, errors.WithType(errors.Errorf("inventory of worker %q", inventory.Worker), ErrOtherWorker)
+	}
+	return inventory, nil
 }
 
 // Send delivers a batch and returns one result per command.
@@ -119,10 +127,13 @@
 	if err != nil {
 		return errors.Annotatef(err, "%s %s", method, path)
 	}
-	if answer.StatusCode == http.StatusConflict {
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
 		return errors.WithType(errors.Errorf("%s %s", method, path), ErrFenced)
-	}
-	if answer.StatusCode != http.StatusOK {
+	case http.StatusMisdirectedRequest:
+		return errors.WithType(errors.Errorf("%s %s", method, path), ErrOtherWorker)
+	default:
 		return errors.Errorf("%s %s: status %d", method, path, answer.StatusCode)
 	}
 	return errors.Annotatef(json.Unmarshal(data, out), "%s %s", method, path)
--- a/worker/link.go
+++ b/worker/link.go
@@ -55,6 +55,8 @@
 
 // LinkOptions configures a link.
 type LinkOptions struct {
+	// Worker is the ID of the worker.
+	Worker string
 	// Owner, Epoch and Session are sent in Adopt and in every batch.
 	Owner   string
 	Epoch   uint64
@@ -138,7 +140,7 @@
 func (l *Link) run(ctx context.Context) {
 	defer l.client.Close()
 	for ctx.Err() == nil {
-		inventory, err := l.client.Adopt(ctx, Adopt{Owner: l.options.Owner, Epoch: l.options.Epoch, Session: l.options.Session})
+		inventory, err := l.client.Adopt(ctx, Adopt{Worker: l.options.Worker, Owner: l.options.Owner, Epoch: l.options.Epoch, Session: l.options.Session})
 		if err != nil {
 			l.handleFailure(ctx, err)
 			continue
--- a/worker/link_test.go
+++ b/worker/link_test.go
@@ -136,7 +136,7 @@
 }
 
 func (f *fixture) open(epoch, session uint64, l worker.Listener) *worker.Link {
-	return worker.Open(worker.LinkOptions{Owner: "e1", Epoch: epoch, Session: session,
+	return worker.Open(worker.LinkOptions{Worker: "w1", Owner: "e1", Epoch: epoch, Session: session,
 		Address: strings.TrimPrefix(f.server.URL, "http://")}, l)
 }
 
@@ -183,7 +183,7 @@
 		next.ServeHTTP(w, r)
 	})
 	l := &listener{results: map[task.AttemptID][]worker.Result{}}
-	link := worker.Open(worker.LinkOptions{Owner: "e1", Epoch: 2, Session: 1, Address: strings.TrimPrefix(f.server.URL, "http://"),
+	link := worker.Open(worker.LinkOptions{Worker: "w1", Owner: "e1", Epoch: 2, Session: 1, Address: strings.TrimPrefix(f.server.URL, "http://"),
 		Renewal: func() time.Duration { return time.Duration(length.Load()) }}, l)
 	defer link.Close()
 	answered := func(id task.AttemptID) (results []worker.Result) {
@@ -302,6 +302,49 @@
 	f.waitFor(c, "another inventory", func() bool { return len(f.inventories) > before })
 }
 
+// The list of workers may still name one whose address another worker has by now. What that one
+// lists must not count as the state of the first, whose attempts may run on under their leases
+// (TWICE).
+func TestAnotherWorkerAtTheAddressIsNotAdopted(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c)
+	s := start("x", time.Hour)
+	c.Assert(f.link.Send(s), qt.IsNil)
+	f.waitFor(c, "the start", func() bool { return len(f.results[s.Attempt]) == 1 })
+	l := &listener{results: map[task.AttemptID][]worker.Result{}}
+	link := worker.Open(worker.LinkOptions{Worker: "w0", Owner: "e1", Epoch: 2, Session: 1, Address: strings.TrimPrefix(f.server.URL, "http://")}, l)
+	defer link.Close()
+	l.waitFor(c, "silence", func() bool { return l.longestSilence > 0 || len(l.inventories) > 0 })
+	l.mu.Lock()
+	c.Assert(l.inventories, qt.HasLen, 0)
+	l.mu.Unlock()
+	// The worker that is there goes on with its own owner.
+	second := start("y", time.Hour)
+	c.Assert(f.link.Send(second), qt.IsNil)
+	f.waitFor(c, "the next start", func() bool { return len(f.results[second.Attempt]) == 1 })
+	f.mu.Lock()
+	c.Assert(f.results[second.Attempt][0].Refused, qt.Equals, "")
+	c.Assert(f.fencedCount, qt.Equals, 0)
+	f.mu.Unlock()
+}
+
+// An agent of an earlier version doesn't check which worker is meant. Its inventory must not be
+// taken for that of another worker (TWICE).
+func TestInventoryOfAnotherWorkerIsRejected(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c.Check(json.NewEncoder(w).Encode(worker.Inventory{Worker: "w1", Instance: "a"}), qt.IsNil)
+	}))
+	defer server.Close()
+	client := worker.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	defer client.Close()
+	_, err := client.Adopt(context.Background(), worker.Adopt{Worker: "w0", Owner: "e1", Epoch: 1, Session: 1})
+	c.Assert(err, qt.ErrorIs, worker.ErrOtherWorker)
+	i, err := client.Adopt(context.Background(), worker.Adopt{Worker: "w1", Owner: "e1", Epoch: 1, Session: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(i.Instance, qt.Equals, "a")
+}
+
 func TestAdoptFailsWithoutAgent(t *testing.T) {
 	c := qt.New(t)
 	client := worker.NewClient("127.0.0.1:1")
--- a/worker/message.go
+++ b/worker/message.go
@@ -37,6 +37,9 @@
 // epoch, or its session within the same epoch, is lower than the highest that
 // the agent has accepted.
 type Adopt struct {
+	// Worker is the ID of the worker that is meant; any other one refuses, since it may
+	// have taken over the address. It is empty if the sender is of an earlier version.
+	Worker string `json:",omitempty"`
 	// Owner is the sending member.
 	Owner string
 	// Epoch is the epoch of the owner's claim on the rack.
--- a/workerstandin/agent.go
+++ b/workerstandin/agent.go
@@ -206,6 +206,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if in.Worker != "" && in.Worker != a.id {
+		http.Error(w, "another worker", http.StatusMisdirectedRequest)
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if in.Epoch < a.epoch || in.Epoch == a.epoch && in.Session < a.session {
