cell: a failed start counts against the life it was placed on

What callers would see: a worker that has started again gets no new work for 1 s to 8 s, though it is well, because starts that were on their way to its earlier life failed.

Cause: an order to start that finds the earlier life gone has the answer OtherLife, Unreached or none, often only after the worker has announced its next life. The announcement clears the failures of the earlier life, but the answers that came after it counted as failures of the next one, and each doubled its pause.

Evidence: TestFailedStartsOfAnEarlierLifeDoNotPauseTheWorker failed before, 3 of 3 for each of the three answers: 2 s after five such starts the next life had no run. It passes now, 20 of 20.

Why this works: a run holds the announcement that it was placed by. Its failed start counts only while the worker still announces that life; if the next life is announced later, that clears the failures as before. TestFailedStartsPauseTheLifeThatFailedThem, which passes before and after, holds that a worker is still paused for its own failures. No placement relies on the pause for safety: a worker is usable only if the life that it announces has reported.

--- a/cell/run.go
+++ b/cell/run.go
@@ -193,7 +193,7 @@
 		// An unknown answer, from a carrier of another version, is treated like none: the
 		// order may still be carried out.
 		c.applyEvent(r, "NoAnswer")
-		w.penalise(now)
+		w.penaliseFor(now, r)
 		c.actions.Polls = append(c.actions.Polls, Poll{worker})
 	}
 	c.log(LogEntry{Event: "start " + string(answer), Job: id.Job, Task: id.String(), Run: number, Worker: worker, Age: now - r.placedAt})
@@ -206,7 +206,7 @@
 func (c *Cell) handleRefusal(now time.Duration, w *worker, r *run, answer Answer) {
 	switch answer {
 	case Unwell, Unreached, OtherLife, NoRoom, Invalid:
-		w.penalise(now)
+		w.penaliseFor(now, r)
 	case BadTicket:
 		if s, _ := c.findTask(r.id); s != nil {
 			s.tickets.invalidate(w.ID)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -115,6 +115,14 @@
 	w.pausedUntil = max(w.pausedUntil, now+pause)
 }
 
+// penaliseFor counts a failed start of a run as a failure of the worker, unless the worker has
+// started again since the run was placed: the failure is then that of its earlier life.
+func (w *worker) penaliseFor(now time.Duration, r *run) {
+	if r.worker.Life == w.Life {
+		w.penalise(now)
+	}
+}
+
 // usable reports whether a worker accepts new work. One that reports another life than it
 // announces may have become another kind, whose labels and capacity are not known yet.
 func (c *Cell) usable(now time.Duration, w *worker) bool {
