cell: a ticket is for the life that the question named

What callers would see: a task waits longer, and a gang may be stopped and started once more, after a worker has started again while a question that names it is on its way: the start is sent with the ticket of the earlier life, and the worker may refuse it.

Cause: a ticket permits runs on one life of a worker (cell/tickets.go), and doesn't count after the worker has announced another one. But the life was read when the answer arrived, 0.1 s to 2 s after the question, or up to 30 s after it if the host that asked passes the answer on to the next owner. A ticket of the earlier life then counted as one of the next.

Evidence: TestTicketIsForTheLifeThatTheQuestionNamed failed before, 3 of 3: the start on life 2 had the ticket asked for life 1.

Why this works: a question has the lives of the workers that it names, and comes back with the answer, also from an earlier owner. A step whose ticket is of an earlier life asks again, as after an announcement. Hosts of earlier versions ignore the lives; an answer without them counts as before (TestTicketOfAQuestionWithoutLivesCounts). Tests of cell, advice and scheduler pass.

--- a/cell/action.go
+++ b/cell/action.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -50,6 +51,9 @@
 type Question struct {
 	Step    workload.StepID
 	Workers []string
+	// Lives holds the life of each worker when the question was asked, which the tickets in the
+	// answer are for. It is empty if a host of an earlier version has passed the question on.
+	Lives []int64 `cbor:",omitempty"`
 	// Expected is the time that the advice service needs for the answer once it handles the
 	// question.
 	Expected time.Duration
@@ -62,6 +66,14 @@
 	Booked bool
 }
 
+// lifeOf returns the life of a worker that a ticket in the answer is for.
+func (q Question) lifeOf(w *worker) int64 {
+	if i := slices.Index(q.Workers, w.ID); i >= 0 && i < len(q.Lives) {
+		return q.Lives[i]
+	}
+	return w.Life
+}
+
 // Poll asks for an immediate report from a worker.
 type Poll struct{ Worker string }
 
--- a/cell/earlier_life_test.go
+++ b/cell/earlier_life_test.go
@@ -40,3 +40,33 @@
 	w.advance(2 * second)
 	c.Assert(w.workers["w0"].running, qt.HasLen, 0)
 }
+
+// A worker starts again while a question that names it is on its way. The ticket in the answer is
+// for the earlier life, and the worker would refuse it.
+func TestTicketIsForTheLifeThatTheQuestionNamed(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Advised", 1, nil))
+	c.Assert(w.questions, qt.HasLen, 1)
+	f := w.workers["w0"]
+	f.Life = 2
+	w.HandleAnnouncement(w.now, f.Worker)
+	w.reportAll()
+	w.advise(anyWorker)
+	c.Assert(w.starts, qt.HasLen, 0)
+	c.Assert(w.questions, qt.HasLen, 1)
+	w.advise(anyWorker)
+	c.Assert(w.starts, qt.HasLen, 1)
+}
+
+// A host of an earlier version passes a question on without the lives. Its answer must still start
+// the task.
+func TestTicketOfAQuestionWithoutLivesCounts(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.submit(job(id(1), "Advised", 1, nil))
+	c.Assert(w.questions, qt.HasLen, 1)
+	w.questions[0].Lives = nil
+	w.advise(anyWorker)
+	c.Assert(w.starts, qt.HasLen, 1)
+}
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -244,14 +244,15 @@
 		return
 	}
 	workers = c.unticketedFirst(now, s, workers)
-	names := make([]string, 0, len(workers))
+	var names []string
+	var lives []int64
 	for _, w := range workers[:min(len(workers), maxWorkersPerQuestion)] {
-		names = append(names, w.ID)
+		names, lives = append(names, w.ID), append(lives, w.Life)
 	}
 	expected := queue.Advice.QuestionDuration(len(names))
 	s.tickets.askedAt, s.tickets.answerTimeout = now, expected+questionTimeout
 	c.actions.Questions = append(c.actions.Questions, Question{
-		Step: s.id, Workers: names, Expected: expected, Valid: queue.Advice.TicketLifetime, Due: s.latestStart(queue), Hopeless: s.expiryTime(queue),
+		Step: s.id, Workers: names, Lives: lives, Expected: expected, Valid: queue.Advice.TicketLifetime, Due: s.latestStart(queue), Hopeless: s.expiryTime(queue),
 		Booked: s.bookedPlan != nil,
 	})
 }
@@ -298,7 +299,7 @@
 			// again.
 			continue
 		}
-		t.byWorker[id] = ticket{value: value, expiresAt: until, life: w.Life}
+		t.byWorker[id] = ticket{value: value, expiresAt: until, life: q.lifeOf(w)}
 	}
 	t.workerIDs = slices.Sorted(maps.Keys(t.byWorker))
 }
