rackowner: a process at another address settles nothing of the earlier one

What callers would see: after the list of workers names another address for a worker, (1) an attempt runs again elsewhere while the process at the earlier address still runs it (TWICE), or (2) an attempt whose start was on its way has no outcome for ever.

Cause: the inventory of the process at the next address counted as that of the one at the earlier address. (1) Its attempts that the inventory lacks were lost at once, though the earlier process may run them under its leases for 15 s; a stop made the next process report them as absent. (2) The answer to a start that was on its way is dropped with the link; the attempt is neither placed nor lost, and questions about it have no answer.

Why this works: what was sent to the earlier process is stranded when the address changes. If the same process answers at the next one, its inventory holds as before, and it refuses what is still on its way, as of an earlier session. Otherwise the stranded attempts are lost once the leases that the closed link may have granted have certainly lapsed, and no stop goes to the process that doesn't have them. Their reservations stay until then. A process that starts again at another address thus has its attempts counted as lost after 16.5 s, not at once.

Not covered: an owner that takes the rack over within these 16.5 s doesn't know of the earlier process.

--- a/rackowner/command.go
+++ b/rackowner/command.go
@@ -149,13 +149,15 @@
 }
 
 // interrupt releases a held attempt, or sends the worker of a started one the given
-// command. If the attempt has ended, it resends the report.
+// command. If the attempt has ended, it resends the report. An agent that never had the attempt
+// would report it as absent, so a stranded attempt is left to its lease.
 func (o *Owner) interrupt(now time.Time, r *ownedRack, p *placement, c decision.Command, verb worker.Verb) {
-	switch p.status {
-	case decision.Held:
+	switch {
+	case p.isStranded():
+	case p.status == decision.Held:
 		r.refusedUntil[c.Attempt] = now.Add(RefusalRetention)
 		o.releaseAndRefuse(r, c.Attempt, ReasonWithdrawn)
-	case decision.Ended:
+	case p.status == decision.Ended:
 		o.port.Report(r.reportOf(c.Attempt, p))
 	default:
 		o.sendIfPresent(r, p.worker, worker.Command{Verb: verb, Attempt: c.Attempt})
--- a/rackowner/end.go
+++ b/rackowner/end.go
@@ -105,6 +105,7 @@
 	}
 	r.rack.Release(id)
 	p.status, p.outcome, p.body, p.unconfirmedEnd = decision.Ended, e.outcome, e.body, nil
+	p.strandedUntil = time.Time{}
 	if !e.used.IsZero() {
 		p.used = e.used
 	}
--- a/rackowner/owner.go
+++ b/rackowner/owner.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// Tick releases expired holds and refusals, repeats unacknowledged ends, and removes
-// unlisted workers that run nothing.
+// Tick releases expired holds and refusals, repeats unacknowledged ends, ends stranded
+// attempts whose leases have lapsed, and removes unlisted workers that run nothing.
 func (o *Owner) Tick(now time.Time) {
 	for _, r := range o.racks {
 		r.expireRefusals(now)
@@ -191,6 +191,8 @@
 				o.releaseAndRefuse(r, id, ReasonExpired)
 			case p.status == decision.Ended && now.After(p.repeatAt):
 				o.repeatEnd(now, r, id, p)
+			case p.isStranded() && now.After(p.strandedUntil):
+				o.recordLost(now, r, id, p)
 			}
 		}
 		o.removeUnlisted(now, r)
--- a/rackowner/rack.go
+++ b/rackowner/rack.go
@@ -89,6 +89,10 @@
 	onlyRecord bool
 	// unconfirmedEnd is an end that the worker sent before it confirmed the start.
 	unconfirmedEnd *attemptEnd
+	// strandedUntil is when the leases of the agent that has the attempt, strandedOn, have
+	// certainly lapsed, if the worker has been given another address since; zero if not.
+	strandedUntil time.Time
+	strandedOn    uint64
 	// holdExpiresAt is when an unconfirmed hold is released.
 	holdExpiresAt time.Time
 	// repeatAt is when the end is next reported, repeatInterval after the last report.
@@ -96,6 +100,20 @@
 	repeatInterval time.Duration
 }
 
+// isStranded reports whether the attempt may run on an agent that can't be contacted any more.
+func (p *placement) isStranded() bool { return !p.strandedUntil.IsZero() }
+
+// strand marks the attempts that a worker's agent may run when the worker is given another
+// address. Until the same agent answers there, nothing is known of them but that they end with
+// their leases.
+func (r *ownedRack) strand(now time.Time, id string, m *ownedWorker) {
+	for _, p := range r.attempts {
+		if p.worker == id && (p.status == "" || p.status == decision.Placed) && !p.isStranded() {
+			p.strandedUntil, p.strandedOn = now.Add(worker.LeaseLapseTimeout), m.lastInstance
+		}
+	}
+}
+
 // attemptEnd is the result of an attempt.
 type attemptEnd struct {
 	outcome task.Outcome
--- a/rackowner/worker.go
+++ b/rackowner/worker.go
@@ -15,12 +15,12 @@
 func (o *Owner) refreshWorkers(now time.Time, r *ownedRack) {
 	for _, h := range o.workerList.hosts {
 		if h.Rack == r.name {
-			o.openWorker(r, h)
+			o.openWorker(now, r, h)
 		}
 	}
 	for _, d := range o.workerList.removed {
 		if d.host.Rack == r.name {
-			o.openWorker(r, d.host)
+			o.openWorker(now, r, d.host)
 		}
 	}
 	for id, m := range r.workers {
@@ -34,7 +34,7 @@
 }
 
 // openWorker opens the link to a worker, or reopens it if the address has changed.
-func (o *Owner) openWorker(r *ownedRack, h tablestore.Host) {
+func (o *Owner) openWorker(now time.Time, r *ownedRack, h tablestore.Host) {
 	m, known := r.workers[h.ID]
 	if known && m.address == h.Address {
 		return
@@ -42,6 +42,7 @@
 	if known {
 		// An expected worker has no link to close; Close has no effect then.
 		o.port.Close(r.name, h.ID)
+		r.strand(now, h.ID, m)
 		m.address, m.inventoryKnown, m.expectedSince = h.Address, false, time.Time{}
 		o.port.Open(r.name, r.rack.Epoch(), h)
 		o.port.SetLeaving(r.name, h.ID, m.leaving)
@@ -108,7 +109,7 @@
 }
 
 // HandleInventory adopts the attempts that a worker holds. Placed attempts that the
-// inventory lacks are lost.
+// inventory lacks are lost, unless another agent may run them.
 func (o *Owner) HandleInventory(now time.Time, rackName, id string, i worker.Inventory) {
 	r, m := o.lookUpWorker(rackName, id)
 	if m == nil {
@@ -129,13 +130,22 @@
 		present[a.ID] = true
 		o.adoptAttempt(now, r, id, a)
 	}
+	o.settleUnlisted(now, r, id, m, present)
+}
+
+// settleUnlisted settles the attempts of a worker that its inventory lacks. Those stranded on
+// another agent than the one that answered end when its leases have lapsed.
+func (o *Owner) settleUnlisted(now time.Time, r *ownedRack, id string, m *ownedWorker, present map[task.AttemptID]bool) {
 	for attempt, p := range r.attempts {
 		switch {
-		case p.worker != id || present[attempt]:
-		case p.status == decision.Placed:
-			o.recordLost(now, r, attempt, p)
+		case p.worker != id:
+		case present[attempt]:
+			p.strandedUntil = time.Time{}
 		case p.status == decision.Ended:
 			r.markOnlyRecord(p)
+		case p.isStranded() && p.strandedOn != m.lastInstance:
+		case p.isStranded() || p.status == decision.Placed:
+			o.recordLost(now, r, attempt, p)
 		}
 	}
 }
