rackowner: ends by the process at a worker's next address are ignored

What callers would see: an attempt is reported as ended, and may be started again, while the process at the earlier address of its worker still runs it (TWICE), if the process at the next address reports an end or a usage of it, which it can't know.

Cause: an event, and an entry of an inventory, were matched to an attempt by the name of the worker alone. For other workers they have always counted as invalid.

Why this works: an attempt that is stranded on another agent is treated like one on another worker: the event is counted as invalid, and the attempt ends with its leases.

Not covered: schedules in which the rack changes its owner as well.

--- a/rackowner/end.go
+++ b/rackowner/end.go
@@ -24,11 +24,11 @@
 }
 
 // handleEndEvent processes the end of an attempt. The inventory lists everything that ran
-// before it, so an attempt that is unknown, or is placed on another worker, was never
-// started on this worker by this owner or an earlier one.
+// before it, so an attempt that is unknown, or is placed on another worker or agent, was never
+// started on this one by this owner or an earlier one.
 func (o *Owner) handleEndEvent(now time.Time, r *ownedRack, m *ownedWorker, id string, e worker.Event) {
 	p, ok := r.attempts[e.Attempt]
-	if !ok || p.worker != id || p.status == decision.Held {
+	if !ok || r.isElsewhere(p, id) || p.status == decision.Held {
 		o.counts.InvalidEvents++
 		o.sendIfPresent(r, id, worker.Command{Verb: worker.Forget, Attempt: e.Attempt})
 		return
@@ -45,7 +45,7 @@
 // reportUsage forwards the resource usage of an attempt if it changed significantly.
 func (o *Owner) reportUsage(r *ownedRack, m *ownedWorker, id string, e worker.Event) {
 	p, ok := r.attempts[e.Attempt]
-	if !ok || p.worker != id || p.status != decision.Placed {
+	if !ok || r.isElsewhere(p, id) || p.status != decision.Placed {
 		return
 	}
 	used := m.validUsage(e.Used)
--- a/rackowner/moved_test.go
+++ b/rackowner/moved_test.go
@@ -48,6 +48,20 @@
 	c.Assert(f.isLost(), qt.IsTrue)
 }
 
+// The next process must not end, or list, the attempts that only the first one can have. One that
+// does is wrong, and the first still runs them (TWICE).
+func TestEndsOfTheProcessAtTheNextAddressAreIgnored(t *testing.T) {
+	c, f := newPlaced(t)
+	f.moveWorker()
+	f.adopt("w1", "b")
+	f.HandleEvents(f.now, "r1", "w1", []worker.Event{{Sequence: 1, Attempt: attemptOf("x"), Outcome: task.Broke}})
+	f.adopt("w1", "b", worker.Attempt{ID: attemptOf("x"), Outcome: task.Broke})
+	c.Assert(f.lastReport().Status, qt.Equals, decision.Placed)
+	c.Assert(f.Counts().InvalidEvents, qt.Equals, 2)
+	f.tickAfter(worker.LeaseLapseTimeout + time.Second)
+	c.Assert(f.isLost(), qt.IsTrue)
+}
+
 // A start is on its way when its worker gets another address. Its answer never arrives, and the
 // attempt must not stay without an outcome for ever.
 func TestStartOnItsWayToAnEarlierAddressIsLost(t *testing.T) {
--- a/rackowner/rack.go
+++ b/rackowner/rack.go
@@ -103,6 +103,12 @@
 // isStranded reports whether the attempt may run on an agent that can't be contacted any more.
 func (p *placement) isStranded() bool { return !p.strandedUntil.IsZero() }
 
+// isElsewhere reports whether an attempt is on another worker than the given one, or on another
+// agent than the one that the worker last had.
+func (r *ownedRack) isElsewhere(p *placement, id string) bool {
+	return p.worker != id || p.isStranded() && p.strandedOn != r.workers[id].lastInstance
+}
+
 // strand marks the attempts that a worker's agent may run when the worker is given another
 // address. Until the same agent answers there, nothing is known of them but that they end with
 // their leases.
--- a/rackowner/worker.go
+++ b/rackowner/worker.go
@@ -130,20 +130,19 @@
 		present[a.ID] = true
 		o.adoptAttempt(now, r, id, a)
 	}
-	o.settleUnlisted(now, r, id, m, present)
+	o.settleUnlisted(now, r, id, present)
 }
 
 // settleUnlisted settles the attempts of a worker that its inventory lacks. Those stranded on
 // another agent than the one that answered end when its leases have lapsed.
-func (o *Owner) settleUnlisted(now time.Time, r *ownedRack, id string, m *ownedWorker, present map[task.AttemptID]bool) {
+func (o *Owner) settleUnlisted(now time.Time, r *ownedRack, id string, present map[task.AttemptID]bool) {
 	for attempt, p := range r.attempts {
 		switch {
-		case p.worker != id:
+		case r.isElsewhere(p, id):
 		case present[attempt]:
 			p.strandedUntil = time.Time{}
 		case p.status == decision.Ended:
 			r.markOnlyRecord(p)
-		case p.isStranded() && p.strandedOn != m.lastInstance:
 		case p.isStranded() || p.status == decision.Placed:
 			o.recordLost(now, r, attempt, p)
 		}
@@ -154,8 +153,8 @@
 func (o *Owner) adoptAttempt(now time.Time, r *ownedRack, id string, a worker.Attempt) {
 	p, known := r.attempts[a.ID]
 	switch {
-	case known && p.worker != id:
-		// The worker lists an attempt that this owner placed on another worker.
+	case known && r.isElsewhere(p, id):
+		// The worker lists an attempt that this owner placed on another worker or agent.
 		o.counts.InvalidEvents++
 		o.sendIfPresent(r, id, worker.Command{Verb: worker.Stop, Attempt: a.ID})
 	case known && p.status == decision.Ended:
