workerstandin: a runner's connections end with its life

The stand-in kept its connections when it started again, and a hold in flight was answered by the next life.

TestRunnersConnectionsEndWithItsLife fails without the change.

--- a/workerstandin/runner.go
+++ b/workerstandin/runner.go
@@ -36,6 +36,10 @@
 	number    int64
 	changed   chan struct{}
 	silent    bool
+	// life counts the starts of the worker. connections holds the life in which each client first
+	// called, by its address: a connection ends with the life.
+	life        int
+	connections map[string]int
 	// refused holds the highest run number of each task that must not start here.
 	refused map[string]int
 }
@@ -61,6 +65,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.startedAt, r.leaseEnd = time.Now(), time.Now()
+	r.life++
 	r.runs, r.refused, r.changed = map[string]*runnerRun{}, map[string]int{}, make(chan struct{})
 }
 
@@ -99,12 +104,15 @@
 	m.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			r.mu.Lock()
-			silent := r.silent
+			silent, current := r.silent, r.isOfThisLife(q.RemoteAddr)
 			r.mu.Unlock()
 			if silent {
 				<-q.Context().Done()
 				return
 			}
+			if !current {
+				panic(http.ErrAbortHandler)
+			}
 			next.ServeHTTP(w, q)
 		})
 	})
@@ -114,6 +122,22 @@
 	return m
 }
 
+// isOfThisLife reports whether a connection was opened in this life of the worker. The caller
+// holds r.mu.
+func (r *Runner) isOfThisLife(remote string) bool {
+	if r.connections == nil {
+		r.connections = map[string]int{}
+	}
+	life, known := r.connections[remote]
+	if known && life != r.life {
+		// The client's port may be used again.
+		delete(r.connections, remote)
+		return false
+	}
+	r.connections[remote] = r.life
+	return true
+}
+
 type runnerRequest struct {
 	Task    string `json:"task"`
 	Run     int    `json:"run"`
@@ -286,7 +310,7 @@
 		return true
 	})
 	if len(r.ended) == 0 && o.WaitMS > 0 {
-		changed := r.changed
+		changed, life := r.changed, r.life
 		r.mu.Unlock()
 		select {
 		case <-changed:
@@ -294,6 +318,9 @@
 		case <-time.After(time.Duration(o.WaitMS) * time.Millisecond):
 		}
 		r.mu.Lock()
+		if r.life != life {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, run := range r.runs {
--- a/workerstandin/runner_test.go
+++ b/workerstandin/runner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -71,3 +73,34 @@
 	r.Restart()
 	qt.Assert(t, eventKinds(monitor)[2:], qt.DeepEquals, []string{"RunGone", "RunGone", "LifeEnded"})
 }
+
+// A real worker's connections end with its process. If those of the stand-in outlived a restart, a
+// call for its earlier life would be carried out by the next one, which no client can prevent.
+func TestRunnersConnectionsEndWithItsLife(t *testing.T) {
+	r := &workerstandin.Runner{ID: "w1", Capacity: 1000, Monitor: &workerstandin.Monitor{}, Length: time.Hour, Size: 100}
+	r.Start()
+	server := httptest.NewServer(r.Handler())
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	hold := func(wait int) error {
+		answer, err := client.Post(server.URL+"/vanillaquay/hold", "application/json", strings.NewReader(fmt.Sprintf(`{"fence":1,"wait_ms":%d}`, wait)))
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		// A connection is kept open only if the response was read to its end.
+		_, err = io.Copy(io.Discard, answer.Body)
+		return err
+	}
+	qt.Assert(t, hold(0), qt.IsNil)
+	waiting := make(chan error)
+	go func() { waiting <- hold(300) }()
+	time.Sleep(50 * time.Millisecond)
+	r.Restart()
+	qt.Assert(t, <-waiting, qt.IsNotNil)
+	qt.Assert(t, hold(0), qt.IsNil)
+	r.Restart()
+	qt.Assert(t, hold(0), qt.IsNotNil)
+	qt.Assert(t, hold(0), qt.IsNil)
+}
