workload: organisations with keys, weights and limits

Deployments whose callers belong to organisations need the types on which the check of keys, the limits and the shares build.

--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -13,6 +13,13 @@
 	Services map[string]Service
 	// MaxBodyBytes limits the body of a call; 0 is no limit.
 	MaxBodyBytes int64
+	// Organisations share the cell. Set them with WithOrganisations.
+	Organisations []Organisation
+	// ChecksKeys reports whether a call needs the key of an organisation, unless its queue is
+	// public.
+	ChecksKeys bool
+	// organisationByKey holds the name of the organisation of each key.
+	organisationByKey map[string]string
 }
 
 // Queue accepts the jobs whose host and path match its host and prefix.
@@ -35,6 +42,8 @@
 	Timeout time.Duration
 	// Advice is nil if any worker of the service may run a step.
 	Advice *Advice
+	// Public reports whether calls need no key.
+	Public bool
 }
 
 // Advice describes the operator's service that decides which workers may run a step.
--- a/workload/job.go
+++ b/workload/job.go
@@ -33,6 +33,11 @@
 	Schedule Schedule `cbor:"5,keyasint,omitempty"`
 	// Accepted is when the job was accepted, in milliseconds since 1970.
 	Accepted int64 `cbor:"6,keyasint"`
+	// Organisation is the name of the organisation whose key submitted the job; "" is none.
+	Organisation string `cbor:"7,keyasint,omitempty"`
+	// BeyondShare reports whether the job exceeded the share of its organisation when it was
+	// accepted. It then comes after all jobs that are within.
+	BeyondShare bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Schedule repeats the steps of a job at given times.
