cell: run times by the models of package forecast, apart from worker speed

Cause: the predictions were single values, and the time of a run counted as that of its task, however fast its worker. Workers whose queues have unreliable estimates (wrong by a factor of 1.9, for instance) were never told apart.

Change: cell.Learned carries forecast.Model; rows of the previous version are read. Models are given the run time on a worker of usual speed, with the speed known before the run, relative to the mean of the workers. A run of a queue with unreliable estimates counts towards the speed of its worker by the inverse of its variance; reliable queues count as before. The order of service goes by the same regression as before.

Tests: DurationModel is forecast.Model; the takeover test also passes on a distribution.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/forecast"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -56,16 +57,18 @@
 	recordDelay    time.Duration
 	speeds         speeds
 	eligibleRatios eligibleRatios
+	// meanSpeedOffset is the mean speedOffset of the workers.
+	meanSpeedOffset float64
 	// durations predicts the durations of tasks, by queue. durationVersion is the version in
 	// use; durationsChanged reports whether the models have changed since.
-	durations        map[string]DurationModel
+	durations        map[string]forecast.Model
 	durationVersion  int
 	durationsChanged bool
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]DurationModel{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/learned.go
+++ b/cell/learned.go
@@ -5,14 +5,16 @@
 	"maps"
 	"math"
 	"slices"
+
+	"github.com/vanillaquay/vanillaquay/forecast"
 )
 
 // Learned is what a cell has learned about its queues, by name. An owner passes it on to the
 // next one, which would otherwise go by declared estimates until enough work has ended again.
 type Learned struct {
-	Durations      map[string]DurationModel `cbor:"1,keyasint,omitempty"`
-	Speeds         map[string]QueueSpeed    `cbor:"2,keyasint,omitempty"`
-	EligibleRatios map[string]float64       `cbor:"3,keyasint,omitempty"`
+	Durations      map[string]forecast.Model `cbor:"1,keyasint,omitempty"`
+	Speeds         map[string]QueueSpeed     `cbor:"2,keyasint,omitempty"`
+	EligibleRatios map[string]float64        `cbor:"3,keyasint,omitempty"`
 }
 
 // Learned returns what the cell has learned about the queues of the current catalogue.
@@ -30,8 +32,8 @@
 }
 
 // maxLearnedBytes bounds the encoded size of what is learned about one queue, without its name,
-// which is in each of the three maps.
-const maxLearnedBytes = 128
+// which is in each of the three maps: 274 for the model of its run times, 30 for the rest.
+const maxLearnedBytes = 320
 
 // Split divides what was learned, so that each piece takes no more than the given number of
 // bytes when it is encoded. A queue whose name is too long for a piece is left out: what it
@@ -58,7 +60,7 @@
 }
 
 func newLearned() Learned {
-	return Learned{Durations: map[string]DurationModel{}, Speeds: map[string]QueueSpeed{}, EligibleRatios: map[string]float64{}}
+	return Learned{Durations: map[string]forecast.Model{}, Speeds: map[string]QueueSpeed{}, EligibleRatios: map[string]float64{}}
 }
 
 // addQueue adds what another value holds about a queue.
@@ -78,7 +80,7 @@
 // ignored.
 func (c *Cell) RestoreLearned(l Learned) {
 	for queue, m := range l.Durations {
-		if m.isValid() {
+		if m.IsValid() {
 			c.durations[queue] = m
 		}
 	}
--- a/cell/learned_test.go
+++ b/cell/learned_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/codec"
+	"github.com/vanillaquay/vanillaquay/forecast"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -54,11 +55,27 @@
 	c.Assert(math.Abs(objective(next)-want) < 1, qt.IsTrue)
 }
 
+// The owner is replaced by one of this version: it reads the rows of the previous one, whose
+// models have no distribution.
+func TestLearnedDurationsOfPreviousVersionAreRead(t *testing.T) {
+	c := qt.New(t)
+	x, y := math.Log(50), math.Log(5)
+	value, err := codec.Marshal(map[int]any{1: map[string]map[int]float64{"Plain": {1: 100, 2: 100 * x, 3: 100 * y, 4: 100 * x * x, 5: 100 * x * y}}})
+	c.Assert(err, qt.IsNil)
+	var learned cell.Learned
+	c.Assert(codec.Unmarshal(value, &learned), qt.IsNil)
+	next := newWorld(4)
+	next.RestoreLearned(learned)
+	next.advance(second)
+	want := objective(next)
+	c.Assert(want > 11 && want < 14, qt.IsTrue, qt.Commentf("objective %.1f s", want))
+}
+
 // Damaged values must not make durations infinite or undefined.
 func TestImpossibleLearnedValuesAreIgnored(t *testing.T) {
 	w := newWorld(4)
 	w.RestoreLearned(cell.Learned{
-		Durations:      map[string]cell.DurationModel{"Plain": {Weight: 3, X: math.NaN(), Y: math.Inf(1)}},
+		Durations:      map[string]forecast.Model{"Plain": {Weight: 3, X: math.NaN(), Y: math.Inf(1)}},
 		Speeds:         map[string]cell.QueueSpeed{"Plain": {Mean: -1}},
 		EligibleRatios: map[string]float64{"Advised": 7},
 	})
--- a/cell/report.go
+++ b/cell/report.go
@@ -107,23 +107,28 @@
 }
 
 // learnRun updates the usual speeds and the predicted durations after the first run of a task
-// that ended as done. A gang works from when its last member has begun, and is counted once.
+// that ended as done. A gang works from when its last member has begun, at the speed of its
+// slowest worker, and is counted once.
 func (c *Cell) learnRun(now time.Duration, s *step, w *worker, r *run) {
 	if !s.Gang {
+		// The speed before this run applies: the run's own deviation must not count twice.
+		c.learnDuration(s, c.atUsualSpeed(now-r.begunAt, w))
 		c.speeds.learn(s.job.Queue, w, s.Estimate, now-r.begunAt)
-		c.learnDuration(s, now-r.begunAt)
 		return
 	}
 	if s.remaining < len(s.tasks) {
 		return
 	}
-	begun := r.begunAt
+	begun, slowest := r.begunAt, w
 	for _, t := range s.tasks {
 		for _, other := range t.runs {
 			begun = max(begun, other.begunAt)
+			if on := c.workers[other.worker.ID]; on.speedOffset < slowest.speedOffset {
+				slowest = on
+			}
 		}
 	}
-	c.learnDuration(s, now-begun)
+	c.learnDuration(s, c.atUsualSpeed(now-begun, slowest))
 }
 
 // markDone marks a task, or all tasks of a gang, as done. A daemon is never done.
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -68,18 +68,44 @@
 	}
 	deviation := min(math.Abs(speed/usual.Mean-1), maxSpeedRatio)
 	usual.Deviation += (deviation - usual.Deviation) / queueSpeedWeight
-	if usual.reliable() {
-		w.learnSpeed(speed / usual.Mean)
-	}
+	w.learnSpeed(speed/usual.Mean, usual.evidence())
 	usual.Mean += (speed - usual.Mean) / queueSpeedWeight
 	s[queue] = usual
 }
 
+// evidence returns the weight of a run of the queue in the speed of its worker. It is 1 for a
+// reliable queue and falls with the variance of others, so that the speeds of workers are as
+// exact whatever queues run on them.
+func (q QueueSpeed) evidence() float64 {
+	if q.reliable() {
+		return 1
+	}
+	return math.Pow(maxReliableDeviation/q.Deviation, 2)
+}
+
 // learnSpeed updates the speed of a worker after a run with the given speed relative to the
 // usual one of its queue.
-func (w *worker) learnSpeed(relative float64) {
+func (w *worker) learnSpeed(relative, weight float64) {
 	relative = min(max(relative, 1.0/maxSpeedRatio), maxSpeedRatio)
-	w.speedOffset += (relative - 1 - w.speedOffset) / workerSpeedWeight
+	w.speedOffset += weight * (relative - 1 - w.speedOffset) / workerSpeedWeight
+}
+
+// updateMeanSpeed computes the mean speed of the workers.
+func (c *Cell) updateMeanSpeed() {
+	sum := 0.0
+	for _, w := range c.sortedWorkers {
+		sum += w.speedOffset
+	}
+	c.meanSpeedOffset = sum / float64(max(1, len(c.sortedWorkers)))
+}
+
+// speedOf returns the speed of a worker relative to the mean of the workers. A change that all
+// workers show alike is thus one of the tasks, not of the workers.
+func (c *Cell) speedOf(w *worker) float64 { return (1 + w.speedOffset) / (1 + c.meanSpeedOffset) }
+
+// atUsualSpeed returns the time that a run would have taken on a worker of usual speed.
+func (c *Cell) atUsualSpeed(took time.Duration, w *worker) time.Duration {
+	return time.Duration(float64(took) * c.speedOf(w))
 }
 
 // speedLevel returns the relative speed of a worker in levels, for comparison.
--- a/cell/stuck.go
+++ b/cell/stuck.go
@@ -69,7 +69,7 @@
 	if rate, ok := s.rateElsewhere(r.worker.ID); ok {
 		return min(maxPercentTime, time.Duration(float64(time.Second)/rate))
 	}
-	return min(maxPercentTime, c.durations[s.job.Queue].Predict(s.Estimate)/completePercent)
+	return min(maxPercentTime, c.durations[s.job.Queue].Centre(s.Estimate)/completePercent)
 }
 
 // meanPercentTime returns how long a run took for one percent so far; 0 if it has made no
--- a/scheduler/large_job_test.go
+++ b/scheduler/large_job_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/forecast"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -181,11 +182,11 @@
 func TestLearnedValuesOfManyQueuesFitRows(t *testing.T) {
 	c := qt.New(t)
 	const queues = 3000
-	learned := cell.Learned{Durations: map[string]cell.DurationModel{}, Speeds: map[string]cell.QueueSpeed{}, EligibleRatios: map[string]float64{}}
+	learned := cell.Learned{Durations: map[string]forecast.Model{}, Speeds: map[string]cell.QueueSpeed{}, EligibleRatios: map[string]float64{}}
 	catalogue := workload.Catalogue{Version: 2}
 	for n := range queues {
 		name := fmt.Sprintf("%0*d", 20+n%100, n)
-		learned.Durations[name] = cell.DurationModel{Weight: 0.1 + float64(n), X: 1.7, Y: 2.3, XX: 3.1, XY: 4.9}
+		learned.Durations[name] = forecast.Model{Weight: 0.1 + float64(n), X: 1.7, Y: 2.3, XX: 3.1, XY: 4.9}
 		learned.Speeds[name], learned.EligibleRatios[name] = cell.QueueSpeed{Mean: 0.7, Deviation: 0.3}, 0.3
 		catalogue.Queues = append(catalogue.Queues, workload.Queue{Name: name})
 	}
--- a/scheduler/learned_test.go
+++ b/scheduler/learned_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/cell"
+	"github.com/vanillaquay/vanillaquay/forecast"
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -33,7 +34,7 @@
 func TestLearnedValuesReachTheNextOwner(t *testing.T) {
 	c := qt.New(t)
 	learned := cell.Learned{
-		Durations:      map[string]cell.DurationModel{"q": {Weight: 7, X: 1, Y: 2, XX: 3, XY: 4}},
+		Durations:      map[string]forecast.Model{"q": forecast.Model{Weight: 7, X: 1, Y: 2, XX: 3, XY: 4}.With(time.Second, 3*time.Second, 0.3)},
 		Speeds:         map[string]cell.QueueSpeed{"q": {Mean: 0.5, Deviation: 0.1}},
 		EligibleRatios: map[string]float64{"q": 0.25},
 	}
