cell, advice: long questions are divided among idle hosts

Wide gangs of a cell of 350 workers started 4 to 8 s after their submission, of an objective of 11 to 15 s: one host at a time asked about 35 to 100 workers, an answer takes 1.1 to 1.7 s, and it took three to six answers in a row to find 20 eligible workers with room at the same moment.

While hosts are idle, a question about many workers is now divided among up to five of them, and the first question of a gang names enough workers for twice its tasks. Of the answers those that arrive are used at once; a lost part is awaited for half a second. With busy hosts nothing changes.

--- a/advice/dispatcher.go
+++ b/advice/dispatcher.go
@@ -58,12 +58,38 @@
 	expectedAt time.Duration
 }
 
-// Add queues a question, replacing an earlier one about the same step.
+// Add queues a question. It replaces earlier ones about the same step, but not other parts of
+// the same one, of which the first must be added first.
 func (d *Dispatcher) Add(q cell.Question) {
-	d.queue = slices.DeleteFunc(d.queue, func(other cell.Question) bool { return other.Step == q.Step })
+	if q.Part == 0 {
+		d.queue = slices.DeleteFunc(d.queue, func(other cell.Question) bool { return other.Step == q.Step })
+	}
 	d.queue = append(d.queue, q)
 }
 
+// Requeue queues a question again that could not be sent to its host.
+func (d *Dispatcher) Requeue(q cell.Question) { d.queue = append(d.queue, q) }
+
+// IdleHosts returns how many of the hosts for long questions are idle, without those that
+// queued questions will need.
+func (d *Dispatcher) IdleHosts(hosts []string) int {
+	n := 0
+	for _, h := range hosts[:longHostCount(hosts)] {
+		if d.isIdle(h) {
+			n++
+		}
+	}
+	for _, q := range d.queue {
+		if isLong(q) {
+			n--
+		}
+	}
+	return max(0, n)
+}
+
+// longHostCount returns how many of the hosts are eligible for long questions at any time.
+func longHostCount(hosts []string) int { return (len(hosts)*longHostEighths + eighths - 1) / eighths }
+
 // RemoveJob removes the queued questions of a job, whose answers are no longer needed.
 func (d *Dispatcher) RemoveJob(job string) {
 	d.queue = slices.DeleteFunc(d.queue, func(q cell.Question) bool { return q.Step.Job == job })
@@ -183,7 +209,7 @@
 // pickHost returns the host for a question that is likely to answer first. shortQueued
 // reports that short questions are waiting for a host.
 func (d *Dispatcher) pickHost(q cell.Question, hosts []string, shortQueued bool) (string, bool) {
-	longHosts := (len(hosts)*longHostEighths + eighths - 1) / eighths
+	longHosts := longHostCount(hosts)
 	best, found := "", false
 	consider := func(hosts []string, free func(host string) bool) {
 		for _, h := range hosts {
--- a/cell/action.go
+++ b/cell/action.go
@@ -64,6 +64,9 @@
 	Due, Hopeless time.Duration
 	// Booked reports whether capacity is held for the step until the answer arrives.
 	Booked bool
+	// Part is the index of the question among those about the same step that were asked at the
+	// same time, each about other workers.
+	Part int `cbor:",omitempty"`
 }
 
 // lifeOf returns the life of a worker that a ticket in the answer is for.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -53,9 +53,11 @@
 	// wallClock is the time of the last Tick in milliseconds since 1970.
 	wallClock int64
 	// recordDelay is the time needed to record a start.
-	recordDelay    time.Duration
-	speeds         speeds
-	eligibleRatios eligibleRatios
+	recordDelay time.Duration
+	// idleAdviceHosts is the number of hosts that could ask a long question now.
+	idleAdviceHosts int
+	speeds          speeds
+	eligibleRatios  eligibleRatios
 	// durations predicts the durations of tasks, by queue. durationVersion is the version in
 	// use; durationsChanged reports whether the models have changed since.
 	durations        map[string]DurationModel
@@ -81,6 +83,9 @@
 // SetRecordDelay sets the time needed to record a start.
 func (c *Cell) SetRecordDelay(d time.Duration) { c.recordDelay = d }
 
+// SetIdleAdviceHosts sets the number of hosts that could ask a long question now.
+func (c *Cell) SetIdleAdviceHosts(n int) { c.idleAdviceHosts = n }
+
 // TakeOutput returns the actions, record changes and log entries since the last call. Starts
 // must not be sent before the changes are recorded.
 func (c *Cell) TakeOutput() (Actions, []Change, []LogEntry) {
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -24,6 +24,15 @@
 	// askedCapacityFactor is the capacity that the workers of a question should have free, as
 	// a multiple of the waiting tasks.
 	askedCapacityFactor = 3
+	// minDividedDuration is the duration of a question without workers from which it may be
+	// divided. Shorter questions gain less than they cost the hosts.
+	minDividedDuration = 250 * time.Millisecond
+	// maxQuestionParts is the most questions into which one is divided, and idleHostsPerPart the
+	// number of idle hosts for each but the first.
+	maxQuestionParts = 5
+	idleHostsPerPart = 3
+	// partTimeout is how much later than the first answer those to the other parts may arrive.
+	partTimeout = 500 * time.Millisecond
 	// busyCapacityDivisor is the inverse of the part of a busy worker that is expected to be
 	// free when the answer arrives.
 	busyCapacityDivisor = 4
@@ -53,14 +62,31 @@
 	workerIDs []string
 	// askedAbout holds the workers named in answered questions.
 	askedAbout map[string]bool
-	// askedAt is when the pending question was asked; 0 is none.
+	// askedAt is when the pending questions were asked; 0 is none.
 	askedAt time.Duration
+	// pending holds the first worker of each pending question.
+	pending []string
 	// answeredAt is when the last answer arrived.
 	answeredAt time.Duration
-	// answerTimeout is how long the answer to the pending question may take.
+	// answerTimeout is how long the answers to the pending questions may take.
 	answerTimeout time.Duration
 }
 
+// awaitNothing notes that no question is pending.
+func (t *tickets) awaitNothing() { t.askedAt, t.pending = 0, nil }
+
+// settle notes that a question was answered, or has failed. The answers to others about the
+// same step that were asked with it are due at the same time.
+func (t *tickets) settle(now time.Duration, q Question) {
+	t.pending = slices.DeleteFunc(t.pending, func(first string) bool { return len(q.Workers) > 0 && q.Workers[0] == first })
+	if len(t.pending) == 0 {
+		t.awaitNothing()
+	} else {
+		t.answerTimeout = min(t.answerTimeout, now-t.askedAt+partTimeout)
+	}
+	t.answeredAt = now
+}
+
 // ticket permits runs of a step on one incarnation of a worker.
 type ticket struct {
 	value     string
@@ -121,9 +147,16 @@
 // askInitially asks the first question about a step, about the workers with the most free
 // capacity among those that it would fit when empty.
 func (c *Cell) askInitially(now time.Duration, s *step, queue workload.Queue) {
-	if !s.tickets.awaitsAnswer(now) {
-		c.ask(now, s, queue, c.selectEnough(queue, c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name), askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
+	if s.tickets.awaitsAnswer(now) {
+		return
 	}
+	unasked, ratio := c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name)
+	if s.Gang && c.maxQuestionParts(queue) > 1 {
+		// All tasks need room at the same moment.
+		c.ask(now, s, queue, c.selectEnough(queue, unasked, ratio, widenCapacityFactor*len(s.tasks), asFloat(s.fitCount)))
+		return
+	}
+	c.ask(now, s, queue, c.selectEnough(queue, unasked, ratio, askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
 }
 
 // selectEnough returns the first workers of a list that probably offer the wanted number of
@@ -238,23 +271,61 @@
 	return append(unticketed, slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !c.hasTicket(now, s, w) })...)
 }
 
-// ask issues a question about a step unless one is pending.
+// ask issues a question about a step unless one is pending. A long question about many workers
+// is divided among idle hosts.
 func (c *Cell) ask(now time.Duration, s *step, queue workload.Queue, workers []*worker) {
 	if len(workers) == 0 || s.tickets.awaitsAnswer(now) {
 		return
 	}
 	workers = c.unticketedFirst(now, s, workers)
-	var names []string
-	var lives []int64
-	for _, w := range workers[:min(len(workers), maxWorkersPerQuestion)] {
-		names, lives = append(names, w.ID), append(lives, w.Life)
+	s.tickets.awaitNothing()
+	for i, part := range c.divide(queue, workers) {
+		q := Question{
+			Step: s.id, Valid: queue.Advice.TicketLifetime, Due: s.latestStart(queue), Hopeless: s.expiryTime(queue),
+			Booked: s.bookedPlan != nil, Part: i, Expected: queue.Advice.QuestionDuration(len(part)),
+		}
+		for _, w := range part {
+			q.Workers, q.Lives = append(q.Workers, w.ID), append(q.Lives, w.Life)
+		}
+		s.tickets.askedAt, s.tickets.answerTimeout = now, q.Expected+questionTimeout
+		s.tickets.pending = append(s.tickets.pending, q.Workers[0])
+		c.actions.Questions = append(c.actions.Questions, q)
+	}
+}
+
+// divide returns the workers that are asked about at once, by question. The advice service
+// handles one question of a host at a time, and takes longer the more workers it names: several
+// hosts that each ask about a part of the workers get the answer sooner.
+func (c *Cell) divide(queue workload.Queue, workers []*worker) [][]*worker {
+	size := queue.Advice.MaxWorkers(time.Duration(extraNamingRatio * float64(queue.Advice.BaseDuration)))
+	parts := 1
+	if size > 0 {
+		parts = min((len(workers)+size-1)/size, c.maxQuestionParts(queue))
+	}
+	size = maxWorkersPerQuestion
+	if parts > 1 {
+		size = min(size, (len(workers)+parts-1)/parts)
+	}
+	if queue.Advice.BaseDuration >= minDividedDuration {
+		c.idleAdviceHosts = max(0, c.idleAdviceHosts-parts)
+	}
+	var divided [][]*worker
+	for part := range slices.Chunk(workers, size) {
+		if len(divided) == parts {
+			break
+		}
+		divided = append(divided, part)
+	}
+	return divided
+}
+
+// maxQuestionParts returns into how many questions one may be divided now. It leaves idle hosts
+// for others.
+func (c *Cell) maxQuestionParts(queue workload.Queue) int {
+	if queue.Advice.BaseDuration < minDividedDuration {
+		return 1
 	}
-	expected := queue.Advice.QuestionDuration(len(names))
-	s.tickets.askedAt, s.tickets.answerTimeout = now, expected+questionTimeout
-	c.actions.Questions = append(c.actions.Questions, Question{
-		Step: s.id, Workers: names, Lives: lives, Expected: expected, Valid: queue.Advice.TicketLifetime, Due: s.latestStart(queue), Hopeless: s.expiryTime(queue),
-		Booked: s.bookedPlan != nil,
-	})
+	return min(maxQuestionParts, 1+c.idleAdviceHosts/idleHostsPerPart)
 }
 
 // HandleAdvice processes the answer to a question. A nil map means that the question failed.
@@ -270,7 +341,7 @@
 		askedAt = received
 	}
 	c.log(LogEntry{Event: "advice", Job: q.Step.Job, Task: q.Step.String(), Reason: formatCount(len(tickets), len(q.Workers)), Age: now - askedAt})
-	t.askedAt, t.answeredAt = 0, now
+	t.settle(now, q)
 	c.stale = true
 	if tickets == nil {
 		return
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -40,6 +40,7 @@
 			o.handleEvent(e)
 		case <-tick.C:
 			o.adviceDue = true
+			o.cell.SetIdleAdviceHosts(o.dispatcher.IdleHosts(o.members.AdviceHosts()))
 			o.advanceClock()
 			o.abandonNewJobs(clock.Now())
 			o.removeMissing(clock.Now())
@@ -164,11 +165,12 @@
 		return
 	}
 	o.adviceDue = false
-	now := clock.Now()
-	for _, a := range o.dispatcher.Assign(now, o.members.AdviceHosts()) {
+	now, hosts := clock.Now(), o.members.AdviceHosts()
+	for _, a := range o.dispatcher.Assign(now, hosts) {
 		if !o.members.SendQuestion(a.Host, Question{Fence: o.Fence(), Question: a.Question}) {
 			o.dispatcher.RecordFailure(now, a.Host, a.Question)
-			o.dispatcher.Add(a.Question)
+			o.dispatcher.Requeue(a.Question)
 		}
 	}
+	o.cell.SetIdleAdviceHosts(o.dispatcher.IdleHosts(hosts))
 }
