scheduler: queries wait for the end of their job

Callers ask for the state of a job when its last task has ended, and again a quarter of a second later.

A query for a job whose end is about to be recorded, or all of whose unfinished tasks run, now waits up to 250 ms for it. That is less than the interval at which hosts send a call again.

--- a/cell/job.go
+++ b/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -141,6 +142,30 @@
 	return j.state, true
 }
 
+// MayFinish reports whether a job may be done without the start of another run.
+func (c *Cell) MayFinish(id string) bool {
+	j := c.jobs[id]
+	if j == nil || j.state.Final() || j.dueCount < j.Occurrences() {
+		return false
+	}
+	for _, s := range j.steps {
+		if s.remaining > 0 && (s.Daemon || !s.allBegun()) {
+			return false
+		}
+	}
+	return true
+}
+
+// allBegun reports whether all tasks of a step that are not done are known to run.
+func (s *step) allBegun() bool {
+	for _, t := range s.tasks {
+		if !t.done && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.state == running }) {
+			return false
+		}
+	}
+	return true
+}
+
 // Cancel ends a job and stops its runs. It reports false if the job is not known.
 func (c *Cell) Cancel(now time.Duration, id string) bool {
 	j := c.jobs[id]
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -97,7 +97,10 @@
 // transaction.
 func (o *Owner) markPendingFinal(id string) {
 	o.pendingFinal[id] = true
-	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() { delete(o.pendingFinal, id) }})
+	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() {
+		delete(o.pendingFinal, id)
+		o.queries.answer(id, o.state(id))
+	}})
 }
 
 // acceptance returns an effect that replies to a call with Accepted, if the records that make it
@@ -164,6 +167,7 @@
 // know of its successor.
 func (o *Owner) replyState(now time.Duration, id string, reply func(intake.Reply)) {
 	switch r := o.state(id); {
+	case o.awaitsEnd(id, r) && o.queries.wait(now, id, reply):
 	case r.Outcome != intake.NotFound:
 		reply(r)
 	case o.commitTooSlow(now):
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -180,6 +180,7 @@
 		e.apply(unrecorded)
 	}
 	confirmUnknown(o.unconfirmed)
+	o.answerAllQueries()
 	return nil
 }
 
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -61,6 +61,8 @@
 		}
 		next := o.schedule(now)
 		o.dispatch(ctx)
+		o.answerDueQueries(now)
+		next = min(next, o.queries.next(now))
 		if wait, ok := o.commitIfDue(ctx); ok {
 			next = min(next, wait)
 		}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -336,3 +336,6 @@
 
 // SetSilent calls setSilent.
 func (c *currentLife) SetSilent(life int64) bool { return c.setSilent(life) }
+
+// AnswerDueQueries calls answerDueQueries.
+func (o *Owner) AnswerDueQueries(now time.Duration) { o.answerDueQueries(now) }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -78,6 +78,8 @@
 	recordingJobs map[string]bool
 	// pendingFinal holds the jobs whose final state has not been recorded yet.
 	pendingFinal map[string]bool
+	// queries holds the queries for the state of jobs that wait for their end.
+	queries stateQueries
 	// unconfirmed holds the callers that asked for unknown jobs since the transaction in
 	// flight began, and unconfirmedInFlight those from before. They are told so once the next
 	// transaction, or the one in flight, succeeds.
