cell: a first failure is retried at once; gangs use few workers

Gangs were placed where the least room is left, mostly a task for each worker, and ended with the first worker that left. They now take the workers that fit the most of their tasks.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -82,22 +82,39 @@
 	return nil
 }
 
-// packTasks returns workers for as many tasks of a gang as fit. The worker that is best for
-// one task is best for the next as well, as long as it has capacity.
+// packTasks returns workers for as many tasks of a gang as fit.
 func packTasks(s *step, list []*worker) []*worker {
-	full := map[*worker]bool{}
+	used := map[*worker]bool{}
 	var plan []*worker
 	for len(plan) < len(s.tasks) {
-		w := bestWorker(s, list, full)
+		w, n := roomiestWorker(s, list, used, len(s.tasks)-len(plan))
 		if w == nil {
 			return plan
 		}
-		full[w] = true
-		plan = append(plan, slices.Repeat([]*worker{w}, min(s.fitCount(w), len(s.tasks)-len(plan)))...)
+		used[w] = true
+		plan = append(plan, slices.Repeat([]*worker{w}, n)...)
 	}
 	return plan
 }
 
+// roomiestWorker returns the worker that fits the most tasks of a gang, up to limit, and their
+// number; of several it returns the one that is best for a task. The fewer workers a gang uses,
+// the less likely it loses one, with which all members end. It skips the excluded workers.
+func roomiestWorker(s *step, list []*worker, excluded map[*worker]bool, limit int) (chosen *worker, tasks int) {
+	size := s.Demand()
+	var chosenRank workerRank
+	for _, w := range list {
+		n := min(s.fitCount(w), limit)
+		if n == 0 || n < tasks || excluded[w] {
+			continue
+		}
+		if r := rankWorker(s, w, w.available().Minus(size)); n > tasks || r.before(chosenRank) {
+			chosen, tasks, chosenRank = w, n, r
+		}
+	}
+	return chosen, tasks
+}
+
 // fitCount returns how many tasks of a step fit the available capacity of a worker now.
 func (s *step) fitCount(w *worker) int {
 	n := s.fitCountIn(w.available())
--- a/cell/report.go
+++ b/cell/report.go
@@ -11,6 +11,10 @@
 // every run fails is detected before the task has used up its attempts.
 const failureBackoff = 100 * time.Millisecond
 
+// minAttemptsForRetry is the least number of attempts with which the first failure of a task is
+// followed by another run at once. Two attempts are left to detect a worker that fails every run.
+const minAttemptsForRetry = 3
+
 // stopMargin is added to the time that a run takes to stop, to allow for slow clocks.
 const stopMargin = 50 * time.Millisecond
 
@@ -153,7 +157,10 @@
 	if t.done {
 		return
 	}
-	t.notBefore = now + failureBackoff
+	queue, known := c.queues[s.job.Queue]
+	if s.Gang || t.failures > 0 || queue.MaxAttempts < minAttemptsForRetry {
+		t.notBefore = now + failureBackoff
+	}
 	if s.Gang && s.lastFailedRun == e.Run {
 		// All members of a gang fail together, so the failure of one run counts once.
 		return
@@ -167,7 +174,6 @@
 		}
 	}
 	c.markChanged(s.job)
-	queue, known := c.queues[s.job.Queue]
 	if s.Daemon || !known || t.failures < queue.MaxAttempts {
 		return
 	}
