--- a/front/host.go
+++ b/front/host.go
@@ -215,7 +215,10 @@
 		if !h.forwarder.SetCatalogue(c) {
 			return
 		}
-		h.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues)}).Info("front: configuration in force")
+		h.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues), "organisations": len(c.Organisations), "checks_keys": c.ChecksKeys}).Info("front: configuration in force")
+		for _, fault := range c.Faults {
+			h.log.WithFields(logrus.Fields{"version": c.Version, "why": fault}).Warn("front: part of the configuration ignored")
+		}
 		if o := h.localOwner(); o != nil {
 			o.SetCatalogue(c)
 		}
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -18,6 +18,8 @@
 	// ChecksKeys reports whether a call needs the key of an organisation, unless its queue is
 	// public.
 	ChecksKeys bool
+	// Faults describes, for the log, what of the version could not be read and how it counts.
+	Faults []string
 	// organisationByKey holds the name of the organisation of each key.
 	organisationByKey map[string]string
 }
