--- a/front/host.go
+++ b/front/host.go
@@ -58,6 +58,7 @@
 	hub         *peer.Hub
 	members     members
 	forwarder   *intake.Forwarder
+	ingress     *platform.Ingress
 	questions   *ring.Ring[queuedQuestion]
 	adviceCache adviceCache
 	counters    scheduler.Counters
@@ -108,6 +109,7 @@
 	h.relay = carrier.NewRelay(h.workerClient, h, log)
 	h.carrier = carrier.NewCarrier(h.workerClient, h.fence, h.sendWorkerAnswers)
 	h.forwarder = intake.NewForwarder(h, log)
+	h.ingress = &platform.Ingress{Intake: h.forwarder}
 	return h
 }
 
@@ -131,7 +133,7 @@
 		return err
 	}
 	h.subscribe(ctx)
-	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically} {
+	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically, h.logRefusedKeys} {
 		h.background.Add(1)
 		go func() {
 			defer h.background.Done()
--- a/front/serve.go
+++ b/front/serve.go
@@ -37,7 +37,7 @@
 
 // startServers starts all servers, and returns those for callers and for the balancer.
 func (h *Host) startServers() ([]*server.Server, error) {
-	callers, err := h.startServer(h.settings().CallerAddress, &platform.Ingress{Intake: h.forwarder})
+	callers, err := h.startServer(h.settings().CallerAddress, h.ingress)
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +105,9 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "vanillaquay_%s %v\n", name, value) }
 	line("jobs_accepted_total", h.counters.Accepted.Load())
 	line("jobs_refused_total", h.counters.Refused.Load())
+	line("missing_keys_total", h.ingress.MissingKeys.Load())
+	line("unknown_keys_total", h.ingress.UnknownKeys.Load())
+	line("configuration_version", h.catalogueVersion())
 	line("unknown_cancels_total", h.counters.UnknownCancels.Load())
 	line("starts_total", h.counters.Starts.Load())
 	line("stops_total", h.counters.Stops.Load())
@@ -132,7 +135,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
 		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": own,
-		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(),
+		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.catalogueVersion(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
 	}
