intake: the owner refuses keys that were withdrawn

A host that can't reach the store continues with its copy of the configuration, in which a key may be valid that was withdrawn since. Each call now carries the key and the version that admitted it. With the same or an older version the owner takes the host's word, so that it refuses no key of which it has not read yet, and it takes that of hosts whose program sends no version. Unauthorised counts as a refusal: it is reported only if no copy of the call can have had an effect, and no copy is sent after it.

--- a/front/serve.go
+++ b/front/serve.go
@@ -107,6 +107,7 @@
 	line("jobs_refused_total", h.counters.Refused.Load())
 	line("missing_keys_total", h.ingress.MissingKeys.Load())
 	line("unknown_keys_total", h.ingress.UnknownKeys.Load())
+	line("withdrawn_keys_total", h.counters.WithdrawnKeys.Load())
 	line("configuration_version", h.catalogueVersion())
 	line("unknown_cancels_total", h.counters.UnknownCancels.Load())
 	line("starts_total", h.counters.Starts.Load())
--- a/intake/call.go
+++ b/intake/call.go
@@ -18,6 +18,15 @@
 	Waiting Verb = "Waiting"
 )
 
+// Credential is the key of a caller, and what its host has checked of it.
+type Credential struct {
+	// Key is "" if the caller has none.
+	Key string `cbor:"6,keyasint,omitempty"`
+	// CatalogueVersion is the version of the catalogue that admitted the call; 0 is a host that
+	// checks no keys, as its program is of an earlier version.
+	CatalogueVersion int64 `cbor:"7,keyasint,omitempty"`
+}
+
 // Call is a call as it is sent to the owner of the cell.
 type Call struct {
 	// Number identifies the call at its sender.
@@ -28,6 +37,7 @@
 	// Job is the job of a Submit. It has the same queue and ID as the call, and is valid in
 	// a call decoded from another host.
 	Job workload.Job `cbor:"5,keyasint,omitempty"`
+	Credential
 }
 
 // UnmarshalCBOR implements cbor.Unmarshaler. It rejects an invalid job, as the owner relies
--- a/intake/call_test.go
+++ b/intake/call_test.go
@@ -45,6 +45,32 @@
 	}
 }
 
+// earlierCall is a call as programs without keys have it.
+type earlierCall struct {
+	Number uint64       `cbor:"1,keyasint"`
+	Verb   intake.Verb  `cbor:"2,keyasint"`
+	Queue  string       `cbor:"3,keyasint,omitempty"`
+	ID     string       `cbor:"4,keyasint,omitempty"`
+	Job    workload.Job `cbor:"5,keyasint,omitempty"`
+}
+
+// While hosts are upgraded, owners and hosts of both versions must read each other's calls.
+func TestCallsOfEarlierVersion(t *testing.T) {
+	c := qt.New(t)
+	call := submission(workload.Step{TaskCount: 1})
+	call.Credential = intake.Credential{Key: "k", CatalogueVersion: 7}
+	data, err := codec.Marshal(call)
+	c.Assert(err, qt.IsNil)
+	var earlier earlierCall
+	c.Assert(codec.Unmarshal(data, &earlier), qt.IsNil)
+	data, err = codec.Marshal(earlier)
+	c.Assert(err, qt.IsNil)
+	var read intake.Call
+	c.Assert(codec.Unmarshal(data, &read), qt.IsNil)
+	call.Credential = intake.Credential{}
+	c.Assert(read, qt.DeepEquals, call)
+}
+
 // FuzzMessages decodes arbitrary bytes as each kind of message. A decoded message must
 // survive another round of encoding and decoding, and a forwarder must ignore the answer to
 // a call that it does not have.
@@ -54,6 +80,7 @@
 		submission(workload.Step{TaskCount: 1, After: []int{-1}}),
 		intake.Call{Number: 2, Verb: intake.Waiting, Queue: "q"},
 		intake.Call{Verb: "Odd", ID: "\xff"},
+		intake.Call{Verb: intake.State, Queue: "q", ID: jobID, Credential: intake.Credential{Key: "k", CatalogueVersion: -1}},
 		intake.Answer{Number: 1, Reply: intake.Reply{Outcome: intake.Reported, State: workload.Done}},
 		intake.Answer{NotOwner: true, Reply: intake.Reply{Outcome: "Odd", RetryAfter: -1, Waiting: -1}},
 	} {
--- a/intake/forwarder.go
+++ b/intake/forwarder.go
@@ -86,23 +86,23 @@
 }
 
 // Submit submits a job.
-func (f *Forwarder) Submit(ctx context.Context, job workload.Job) Reply {
-	return f.forward(ctx, Call{Verb: Submit, Queue: job.Queue, ID: job.ID, Job: job})
+func (f *Forwarder) Submit(ctx context.Context, by Credential, job workload.Job) Reply {
+	return f.forward(ctx, Call{Verb: Submit, Queue: job.Queue, ID: job.ID, Job: job, Credential: by})
 }
 
 // State requests the state of a job.
-func (f *Forwarder) State(ctx context.Context, queue, id string) Reply {
-	return f.forward(ctx, Call{Verb: State, Queue: queue, ID: id})
+func (f *Forwarder) State(ctx context.Context, by Credential, queue, id string) Reply {
+	return f.forward(ctx, Call{Verb: State, Queue: queue, ID: id, Credential: by})
 }
 
 // Cancel cancels a job.
-func (f *Forwarder) Cancel(ctx context.Context, queue, id string) Reply {
-	return f.forward(ctx, Call{Verb: Cancel, Queue: queue, ID: id})
+func (f *Forwarder) Cancel(ctx context.Context, by Credential, queue, id string) Reply {
+	return f.forward(ctx, Call{Verb: Cancel, Queue: queue, ID: id, Credential: by})
 }
 
 // Waiting requests the number of jobs of a queue that have not started.
-func (f *Forwarder) Waiting(ctx context.Context, queue string) Reply {
-	return f.forward(ctx, Call{Verb: Waiting, Queue: queue})
+func (f *Forwarder) Waiting(ctx context.Context, by Credential, queue string) Reply {
+	return f.forward(ctx, Call{Verb: Waiting, Queue: queue, Credential: by})
 }
 
 // HandleAnswer handles the answer to one copy of a call.
@@ -146,7 +146,7 @@
 	f.mu.Lock()
 	delete(f.pending, c.Number)
 	f.mu.Unlock()
-	if c.Verb == Submit || c.Verb == Cancel || reply.Outcome == Unknown || reply.Outcome == Unavailable {
+	if c.Verb == Submit || c.Verb == Cancel || reply.Outcome == Unknown || reply.Outcome == Unavailable || reply.Outcome == Unauthorised {
 		f.log.WithFields(logrus.Fields{
 			"job": c.ID, "verb": c.Verb, "queue": c.Queue, "outcome": reply.Outcome, "why": reply.Why, "fence": reply.Fence, "copies": sentCopies.sent,
 			"ms": time.Since(begun).Milliseconds(),
--- a/intake/forwarder_test.go
+++ b/intake/forwarder_test.go
@@ -48,7 +48,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		replies <- f.Submit(ctx, workload.Job{ID: "j"})
+		replies <- f.Submit(ctx, intake.Credential{}, workload.Job{ID: "j"})
 	}()
 	return replies
 }
@@ -184,7 +184,7 @@
 		call := <-s.sent
 		f.HandleAnswer(intake.Answer{Number: call.Number, Reply: intake.Reply{Outcome: intake.NotFound, Fence: 7}})
 	}()
-	c.Assert(f.Cancel(context.Background(), "q", "j").Outcome, qt.Equals, intake.NotFound)
+	c.Assert(f.Cancel(context.Background(), intake.Credential{}, "q", "j").Outcome, qt.Equals, intake.NotFound)
 	line := lines.LastEntry()
 	c.Assert(line, qt.IsNotNil)
 	c.Assert(line.Data["job"], qt.Equals, "j")
--- a/intake/reply.go
+++ b/intake/reply.go
@@ -23,6 +23,9 @@
 	// Overloaded and Unavailable mean that the call had no effect.
 	Overloaded  Outcome = "Overloaded"
 	Unavailable Outcome = "Unavailable"
+	// Unauthorised means that the owner does not accept the caller's key. The call had no
+	// effect.
+	Unauthorised Outcome = "Unauthorised"
 )
 
 // Reply is the answer to a call.
@@ -39,7 +42,9 @@
 }
 
 // isRefusal reports whether a reply says that the call had no effect.
-func (r Reply) isRefusal() bool { return r.Outcome == Overloaded || r.Outcome == Unavailable }
+func (r Reply) isRefusal() bool {
+	return r.Outcome == Overloaded || r.Outcome == Unavailable || r.Outcome == Unauthorised
+}
 
 // Answer is a reply as it is sent to the host that forwarded the call.
 type Answer struct {
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -30,6 +30,11 @@
 		r.Fence = o.Fence()
 		o.members.Reply(from, intake.Answer{Number: c.Number, Reply: r})
 	}
+	if !o.authorise(&c) {
+		o.counters.WithdrawnKeys.Add(1)
+		reply(intake.Reply{Outcome: intake.Unauthorised, Why: "the key is not in the owner's newer configuration"})
+		return
+	}
 	switch c.Verb {
 	case intake.Submit:
 		o.submit(now, waited, c, reply)
@@ -42,6 +47,20 @@
 	}
 }
 
+// authorise reports whether the key of a call is accepted. A host that can't reach the store may
+// have admitted one that was withdrawn since, so it is checked again if this owner has a newer
+// version than the host; the job then belongs to the organisation that has the key now. Otherwise
+// the host is right: its version may have keys that this owner's lacks.
+func (o *Owner) authorise(c *intake.Call) bool {
+	catalogue := o.catalogue.Load()
+	if catalogue == nil || !catalogue.ChecksKeys || c.CatalogueVersion == 0 || c.CatalogueVersion >= catalogue.Version {
+		return true
+	}
+	organisation, known := catalogue.OrganisationOf(c.Key)
+	c.Job.Organisation = organisation
+	return known || catalogue.IsPublic(c.Queue)
+}
+
 // submit accepts a job, and replies once the job has been recorded. A repeated submission
 // of a recorded job is accepted at once, even while the store is unavailable.
 func (o *Owner) submit(now, waited time.Duration, c intake.Call, reply func(intake.Reply)) {
--- a/scheduler/cancel_random_test.go
+++ b/scheduler/cancel_random_test.go
@@ -479,7 +479,7 @@
 		m.mu.Unlock()
 		limited, cancel := context.WithTimeout(ctx, 3*time.Second)
 		defer cancel()
-		if reply := host().Submit(limited, job); reply.Outcome == intake.Overloaded || reply.Outcome == intake.Unavailable {
+		if reply := host().Submit(limited, intake.Credential{}, job); reply.Outcome == intake.Overloaded || reply.Outcome == intake.Unavailable {
 			m.mu.Lock()
 			j.rejected++
 			m.mu.Unlock()
@@ -495,7 +495,7 @@
 	}
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, 3*time.Second)
-		reply := host().Cancel(limited, job.Queue, job.ID)
+		reply := host().Cancel(limited, intake.Credential{}, job.Queue, job.ID)
 		cancel()
 		if reply.Outcome == intake.Accepted || reply.Outcome == intake.NotFound {
 			m.mu.Lock()
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -8,6 +8,8 @@
 
 // Counters counts what owners on this host do. The zero value is ready to use.
 type Counters struct {
+	// WithdrawnKeys counts calls whose key only the earlier version of their host has.
+	WithdrawnKeys atomic.Int64
 	// UnknownCancels counts cancellations of jobs that the owner does not know.
 	UnknownCancels atomic.Int64
 	// RejectedRows counts rows that the store has rejected for good.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -55,9 +55,7 @@
 			o.completeCommit(unrecorded)
 		}
 		now := clock.Now()
-		if c := o.catalogue.Swap(nil); c != nil {
-			o.cell.SetCatalogue(*c)
-		}
+		o.applyCatalogue()
 		next := o.schedule(now)
 		o.dispatch(ctx)
 		if wait, ok := o.commitIfDue(ctx); ok {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -128,6 +128,16 @@
 	o.handleCall(now, waited, "h", c)
 }
 
+// ChangedJobs returns the jobs that have changed since the last call.
+func (o *Owner) ChangedJobs() []workload.Job {
+	var jobs []workload.Job
+	_, changes, _ := o.cell.TakeOutput()
+	for _, c := range changes {
+		jobs = append(jobs, c.Job)
+	}
+	return jobs
+}
+
 // WaitingJobs returns the number of jobs of a queue that wait.
 func (o *Owner) WaitingJobs(queue string) int { return o.cell.WaitingJobCount(queue) }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -67,10 +67,12 @@
 	syncedFleetVersion int
 	group              sync.WaitGroup
 
-	// catalogue is a version of the operator's queues that has not been applied yet.
-	catalogue atomic.Pointer[workload.Catalogue]
-	records   *records
-	waves     waves
+	// catalogue is the newest version of the operator's queues, and appliedCatalogue the one
+	// that the cell uses.
+	catalogue        atomic.Pointer[workload.Catalogue]
+	appliedCatalogue *workload.Catalogue
+	records          *records
+	waves            waves
 	// newJobReplies holds, for each job that is not part of any transaction yet, the
 	// callers that wait for its acceptance.
 	newJobReplies map[string][]func(intake.Reply)
@@ -166,10 +168,19 @@
 	_ = o.events.Put(ctx, e)
 }
 
-// SetCatalogue sets a version of the operator's queues, which applies from the next
-// decision.
+// SetCatalogue sets a version of the operator's queues, which applies from the next call and
+// the next decision.
 func (o *Owner) SetCatalogue(c workload.Catalogue) { o.catalogue.Store(&c) }
 
+// applyCatalogue hands the newest version of the operator's queues to the cell, unless it has
+// it.
+func (o *Owner) applyCatalogue() {
+	if c := o.catalogue.Load(); c != o.appliedCatalogue {
+		o.cell.SetCatalogue(*c)
+		o.appliedCatalogue = c
+	}
+}
+
 // HandleCall queues the call of a host. If the queue is full the call is dropped without
 // a reply: it may repeat an earlier call that took effect, so that a refusal could be
 // wrong. The host sends it again.
@@ -229,7 +240,9 @@
 
 // run schedules until the context ends or the cell is lost or released.
 func (o *Owner) run(ctx context.Context, catalogue workload.Catalogue) error {
-	o.cell.SetCatalogue(catalogue)
+	// A newer version may have been set since the given one was read.
+	o.catalogue.CompareAndSwap(nil, &catalogue)
+	o.applyCatalogue()
 	if err := o.recover(ctx); err != nil {
 		return errors.Annotate(err, "recovering the cell")
 	}
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -91,6 +92,11 @@
 	return best, found
 }
 
+// IsPublic reports whether calls for a queue need no key.
+func (c Catalogue) IsPublic(queue string) bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Name == queue && q.Public })
+}
+
 // QueuesByName returns the queues by name, for look-ups: a catalogue may have thousands of
 // queues.
 func (c Catalogue) QueuesByName() map[string]Queue {
