--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -67,10 +67,12 @@
 	syncedFleetVersion int
 	group              sync.WaitGroup
 
-	// catalogue is a version of the operator's queues that has not been applied yet.
-	catalogue atomic.Pointer[workload.Catalogue]
-	records   *records
-	waves     waves
+	// catalogue is the newest version of the operator's queues, and appliedCatalogue the one
+	// that the cell uses.
+	catalogue        atomic.Pointer[workload.Catalogue]
+	appliedCatalogue *workload.Catalogue
+	records          *records
+	waves            waves
 	// newJobReplies holds, for each job that is not part of any transaction yet, the
 	// callers that wait for its acceptance.
 	newJobReplies map[string][]func(intake.Reply)
@@ -78,6 +80,8 @@
 	recordingJobs map[string]bool
 	// pendingFinal holds the jobs whose final state has not been recorded yet.
 	pendingFinal map[string]bool
+	// queries holds the queries for the state of jobs that wait for their end.
+	queries stateQueries
 	// unconfirmed holds the callers that asked for unknown jobs since the transaction in
 	// flight began, and unconfirmedInFlight those from before. They are told so once the next
 	// transaction, or the one in flight, succeeds.
@@ -166,10 +170,19 @@
 	_ = o.events.Put(ctx, e)
 }
 
-// SetCatalogue sets a version of the operator's queues, which applies from the next
-// decision.
+// SetCatalogue sets a version of the operator's queues, which applies from the next call and
+// the next decision.
 func (o *Owner) SetCatalogue(c workload.Catalogue) { o.catalogue.Store(&c) }
 
+// applyCatalogue hands the newest version of the operator's queues to the cell, unless it has
+// it.
+func (o *Owner) applyCatalogue() {
+	if c := o.catalogue.Load(); c != o.appliedCatalogue {
+		o.cell.SetCatalogue(*c)
+		o.appliedCatalogue = c
+	}
+}
+
 // HandleCall queues the call of a host. If the queue is full the call is dropped without
 // a reply: it may repeat an earlier call that took effect, so that a refusal could be
 // wrong. The host sends it again.
@@ -229,7 +242,9 @@
 
 // run schedules until the context ends or the cell is lost or released.
 func (o *Owner) run(ctx context.Context, catalogue workload.Catalogue) error {
-	o.cell.SetCatalogue(catalogue)
+	// A newer version may have been set since the given one was read.
+	o.catalogue.CompareAndSwap(nil, &catalogue)
+	o.applyCatalogue()
 	if err := o.recover(ctx); err != nil {
 		return errors.Annotate(err, "recovering the cell")
 	}
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -18,6 +19,8 @@
 	// ChecksKeys reports whether a call needs the key of an organisation, unless its queue is
 	// public.
 	ChecksKeys bool
+	// Faults describes, for the log, what of the version could not be read and how it counts.
+	Faults []string
 	// organisationByKey holds the name of the organisation of each key.
 	organisationByKey map[string]string
 }
@@ -89,6 +92,11 @@
 	return best, found
 }
 
+// IsPublic reports whether calls for a queue need no key.
+func (c Catalogue) IsPublic(queue string) bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Name == queue && q.Public })
+}
+
 // QueuesByName returns the queues by name, for look-ups: a catalogue may have thousands of
 // queues.
 func (c Catalogue) QueuesByName() map[string]Queue {
