cell: preemption spares runs that are about to end

Cause: of equal runs the first ones by job and index were preempted, up to 70% of their progress. Where run times vary, that stops runs whose room comes free as soon by itself, and keeps those that hold it longest.

Change: remaining predicts the further time of a run, for any probability, from its progress, or from the model of its queue while that tells little.

--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -105,22 +105,25 @@
 	r.planned++
 }
 
-// preemptibleRuns returns the runs on a worker that may be preempted, the largest first.
+// preemptibleRuns returns the runs on a worker that may be preempted, the largest first, and of
+// equal ones the one that would use its room longest.
 func (c *Cell) preemptibleRuns(now time.Duration, w *worker) []*run {
 	var runs []*run
+	remaining := map[*run]time.Duration{}
 	for _, r := range w.runs {
 		if c.isPreemptible(now, r) {
-			runs = append(runs, r)
+			runs, remaining[r] = append(runs, r), c.remainingIfVaried(now, r)
 		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(b.size.Processors, a.size.Processors), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
+		return cmp.Or(cmp.Compare(b.size.Processors, a.size.Processors), cmp.Compare(remaining[b], remaining[a]), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
 	})
 	return runs
 }
 
 // isPreemptible reports whether a run may be preempted: it resumes from a checkpoint, its job
-// stays in time, and its task has not been started before, so that no task is preempted twice.
+// stays in time, its task has not been started before, so that no task is preempted twice, and
+// its room does not come free as soon without that.
 func (c *Cell) isPreemptible(now time.Duration, r *run) bool {
 	s, _ := c.findTask(r.id)
 	if s == nil || !s.Checkpoints || s.Gang || s.Daemon || s.Filler || s.job.state.Final() {
@@ -134,7 +137,7 @@
 		return false
 	}
 	c.updateEstimates(s.job)
-	return now+minPreemptSlack < s.latestStart(queue)
+	return now+minPreemptSlack < s.latestStart(queue) && !c.endsSoon(now, s, r)
 }
 
 // preempt stops runs to make room for a gang. They resume elsewhere from their checkpoints.
--- a/forecast/histogram.go
+++ b/forecast/histogram.go
@@ -138,6 +138,27 @@
 	return binEdges[bin] - part*(binEdges[bin]-binEdges[bin-1])
 }
 
+// deviation returns the standard deviation of the residuals.
+func (h *Histogram) deviation() float64 {
+	mean, square := 0.0, 0.0
+	for bin, p := range h.probabilities() {
+		r := binMiddle(bin)
+		mean, square = mean+p*r, square+p*r*r
+	}
+	return math.Sqrt(max(0, square-mean*mean))
+}
+
+// binMiddle returns the mean residual of a bin.
+func binMiddle(bin int) float64 {
+	switch bin {
+	case 0:
+		return binEdges[0] - priorScale
+	case binCount - 1:
+		return binEdges[bin-1] + priorScale
+	}
+	return (binEdges[bin-1] + binEdges[bin]) / 2
+}
+
 // meanFactor returns the mean of run times over their median.
 func (h *Histogram) meanFactor() float64 {
 	mean := 0.0
--- a/forecast/model.go
+++ b/forecast/model.go
@@ -163,6 +163,9 @@
 	return 1 - m.Residuals.survival(math.Log(limit.Seconds())-m.logMedian(logSeconds(estimate)))
 }
 
+// Deviation returns the standard deviation of the logarithm of run times for an estimate.
+func (m Model) Deviation() float64 { return m.Residuals.deviation() }
+
 // Observations returns the weight of the observations in the distribution: at most 50, and
 // little after a shift of the load.
 func (m Model) Observations() float64 { return m.Residuals.weight() }
