cell: jobs that a slow worker would delay are placed by predicted end

Cause: only jobs with less than two seconds of slack were placed by the speed of workers, and then always on the fastest. A job of 10 s with a stretch of 1.6 has six seconds, and misses its objective on a worker of speed 0.8.

Change: where the slack of a job is less than the difference in speed and long tasks may cost, a task goes to a worker on which it ends in time with a probability of nine tenths; if there is none, to one with more than a half, the faster the better. Of equal workers the best fit remains, so that fast ones are left for jobs that need them. The rule needs ten observed steps and, with less than two seconds of slack, run times that vary widely: other jobs are placed as before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -61,6 +61,10 @@
 	eligibleRatios  eligibleRatios
 	// meanSpeedOffset is the mean speedOffset of the workers.
 	meanSpeedOffset float64
+	// slowSpeed is the speed of the slower workers, without the slowest tenth.
+	slowSpeed float64
+	// spreads holds the spreads of queues by the models in use.
+	spreads map[string]spread
 	// durations predicts the durations of tasks, by queue. durationVersion is the version in
 	// use; durationsChanged reports whether the models have changed since.
 	durations        map[string]forecast.Model
@@ -70,7 +74,7 @@
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, slowSpeed: 1}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/estimate.go
+++ b/cell/estimate.go
@@ -28,7 +28,8 @@
 // estimates of all waiting jobs are computed again, which is too expensive after each run.
 func (c *Cell) publishDurations() {
 	if c.durationsChanged {
-		c.updateMeanSpeed()
+		c.updateFleetSpeeds()
+		clear(c.spreads)
 		c.durationVersion++
 		c.durationsChanged = false
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -52,6 +52,8 @@
 	lastFailedRun int
 	// tightDeadline is the result of hasTightDeadline at the last ranking.
 	tightDeadline bool
+	// deadline is the result of deadlineOf at the last ranking.
+	deadline taskDeadline
 	// bookedPlan is the plan of a gang that awaits its tickets.
 	bookedPlan []*worker
 	// preemptTriedAt is when preemption was last considered for the gang; 0 is never.
--- a/cell/place.go
+++ b/cell/place.go
@@ -139,18 +139,26 @@
 	far, cold bool
 	// failureScore is the failure score of the worker.
 	failureScore int
-	// speed is compared only for jobs with a tight deadline, and is 0 for others.
+	// outlook is compared only for jobs that depend on the speed of their workers, and is good
+	// for others.
+	outlook outlook
+	// speed is compared only for jobs with a tight deadline or a fair outlook, and is 0 for
+	// others.
 	speed int
 	// leftover is the share of the worker that stays free.
 	leftover float64
 }
 
 func rankWorker(s *step, w *worker, leftover task.Size) workerRank {
-	speed := 0
-	if s.tightDeadline {
+	outlook, speed := good, 0
+	if s.deadline.applies() {
+		outlook = s.deadline.on(w)
+	}
+	if outlook == fair || s.tightDeadline && !s.deadline.applies() {
 		speed = w.speedLevel()
 	}
 	return workerRank{
+		outlook:      outlook,
 		speed:        speed,
 		far:          s.Affinity != "" && w.Rack() != s.Affinity,
 		cold:         w.Cold > maxColdMS,
@@ -167,6 +175,8 @@
 		return !r.cold
 	case r.failureScore != other.failureScore:
 		return r.failureScore < other.failureScore
+	case r.outlook != other.outlook:
+		return r.outlook < other.outlook
 	case r.speed != other.speed:
 		return r.speed > other.speed
 	default:
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -40,7 +40,7 @@
 func (c *Cell) rankStep(now time.Duration, s *step) rankedStep {
 	queue, routed := c.queues[s.job.Queue]
 	c.updateEstimates(s.job)
-	s.tightDeadline = s.job.hasTightDeadline(queue)
+	s.tightDeadline, s.deadline = s.job.hasTightDeadline(queue), c.deadlineOf(now, s, queue)
 	r := rankedStep{step: s, queue: queue, routed: routed, startBy: s.latestStart(queue), work: s.job.work}
 	switch {
 	case now <= r.startBy:
--- a/cell/remaining.go
+++ b/cell/remaining.go
@@ -26,13 +26,6 @@
 	unknownRemaining = time.Duration(math.MaxInt64)
 )
 
-// variesWidely reports whether the run times of a queue are known to vary so much that
-// decisions need their distribution.
-func (c *Cell) variesWidely(queue string) bool {
-	m := c.durations[queue]
-	return m.Observations() >= minObservedSteps && m.Deviation() > maxNarrowDeviation
-}
-
 // remaining returns the further time within which a run ends with the given probability if it
 // is not stopped. The members of a gang end together.
 func (c *Cell) remaining(now time.Duration, r *run, p float64) time.Duration {
@@ -93,7 +86,7 @@
 // remainingIfVaried returns the remaining time of a run, as often too high as too low, if the run
 // times of its queue vary widely, and 0 otherwise.
 func (c *Cell) remainingIfVaried(now time.Duration, r *run) time.Duration {
-	if s, _ := c.findTask(r.id); s == nil || !c.variesWidely(s.job.Queue) {
+	if s, _ := c.findTask(r.id); s == nil || !c.spreadOf(s.job.Queue).varied {
 		return 0
 	}
 	return c.remaining(now, r, evenly)
@@ -102,5 +95,5 @@
 // endsSoon reports whether the room of a run is very likely to come free as soon if it goes on
 // as if it is stopped. Where run times don't vary widely, its progress alone decides.
 func (c *Cell) endsSoon(now time.Duration, s *step, r *run) bool {
-	return c.variesWidely(s.job.Queue) && c.remaining(now, r, likely) <= c.options.StopTime+stopMargin
+	return c.spreadOf(s.job.Queue).varied && c.remaining(now, r, likely) <= c.options.StopTime+stopMargin
 }
