cell, scheduler: predicted run times are compared with actual ones

Cause: nothing told an operator whether the predictions of a queue are right.

Change: the cell counts, by queue, the tasks that took no longer than the predicted median and 90th percentile. scheduler: forecast logs the ten busiest queues every 10 s, and /dump of the owner's host has a hundred.

--- a/cell/estimate.go
+++ b/cell/estimate.go
@@ -20,7 +20,9 @@
 		// The tasks of a step have the same estimate and deviate from it alike.
 		weight /= float64(len(s.tasks))
 	}
-	c.durations[s.job.Queue] = c.durations[s.job.Queue].With(s.Estimate, took, weight)
+	queue := s.job.Queue
+	c.calibrations[queue] = c.calibrations[queue].With(c.durations[queue], s.Estimate, took)
+	c.durations[queue] = c.durations[queue].With(s.Estimate, took, weight)
 	c.durationsChanged = true
 }
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
@@ -131,11 +132,15 @@
 // serveDump writes the state of the process.
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
 	h.mu.Lock()
-	lease, own := h.lease, h.owner != nil
+	lease, owner := h.lease, h.owner
 	h.mu.Unlock()
+	var forecasts []cell.Forecast
+	if owner != nil {
+		forecasts = owner.Forecasts()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
-		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": own,
+		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": owner != nil, "Forecasts": forecasts,
 		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.catalogueVersion(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -47,6 +47,7 @@
 			o.planNewWaves(clock.Now())
 			o.prune(clock.Now())
 			o.logLoad(clock.Now())
+			o.logForecasts(clock.Now())
 		case <-wake.C:
 		case err := <-o.commitResults:
 			unrecorded, err := o.setApartRejected(err)
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -349,3 +349,6 @@
 
 // AnswerDueQueries calls answerDueQueries.
 func (o *Owner) AnswerDueQueries(now time.Duration) { o.answerDueQueries(now) }
+
+// LogForecasts calls logForecasts.
+func (o *Owner) LogForecasts(now time.Duration) { o.logForecasts(now) }
--- a/scheduler/learned_test.go
+++ b/scheduler/learned_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
@@ -57,3 +58,25 @@
 	next := ownerWithStore(ledger.Row{Value: []byte("damaged")})
 	c.Assert(next.RecoverLearned(context.Background()), qt.IsNil)
 }
+
+// The predictions are only written to the log at intervals, and the dump of the host is made by
+// another goroutine: both must show a queue whose task has ended.
+func TestForecastsReachLogAndDump(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	o := scheduler.New(scheduler.Options{Cell: "c"}, &ledger.Ledger{}, storedTable{}, nil, nil, nil, &scheduler.Counters{}, jsonLog(&out))
+	o.ApplyCatalogue(workload.Catalogue{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "S", MaxAttempts: 3}}})
+	core, w := o.Cell(), workload.Worker{ID: "w", Service: "S", Life: 1, Address: "w"}
+	core.HandleAnnouncement(time.Second, w)
+	core.HandleReport(time.Second, time.Second, "w", cell.Report{Life: 1, Complete: true})
+	core.Submit(time.Second, workload.Job{ID: "0123456789abcdef", Queue: "q", Steps: []workload.Step{{TaskCount: 1, Estimate: 2 * time.Second}}})
+	core.Schedule(time.Second)
+	id := workload.TaskID{StepID: workload.StepID{Job: "0123456789abcdef"}}
+	core.HandleStartAnswer(time.Second, id, 1, "w", cell.Accepted)
+	core.HandleReport(3*time.Second, 3*time.Second, "w", cell.Report{Life: 1, Complete: true, Ended: []cell.EndedRun{{Number: 1, Task: id, Run: 1, Outcome: cell.EndedDone}}})
+	o.LogForecasts(time.Minute)
+	c.Assert(o.Forecasts(), qt.HasLen, 1)
+	c.Assert(o.Forecasts()[0].Ended, qt.Equals, 1)
+	c.Assert(out.String(), qt.Contains, `"queue":"q"`)
+	c.Assert(out.String(), qt.Contains, `"actual_s":2`)
+}
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -9,8 +9,16 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 )
 
-// loadLogInterval is the interval between two log lines about the load.
-const loadLogInterval = 2 * time.Second
+const (
+	// loadLogInterval is the interval between two log lines about the load, and
+	// forecastLogInterval that between those about predicted run times.
+	loadLogInterval     = 2 * time.Second
+	forecastLogInterval = 10 * time.Second
+	// maxForecasts is the number of queues in the dump with the quality of their predictions, and
+	// maxLoggedForecasts that of those in the log: a cell may have thousands.
+	maxForecasts       = 100
+	maxLoggedForecasts = 10
+)
 
 // logLoad logs the load every loadLogInterval.
 func (o *Owner) logLoad(now time.Duration) {
@@ -26,6 +34,36 @@
 	}).Info("scheduler: load")
 }
 
+// logForecasts logs every forecastLogInterval how the run times since then compare with the
+// predictions, for the queues with the most ended tasks.
+func (o *Owner) logForecasts(now time.Duration) {
+	if now-o.lastForecastLog < forecastLogInterval {
+		return
+	}
+	o.lastForecastLog = now
+	forecasts := o.cell.TakeForecasts(maxForecasts)
+	o.forecasts.Store(&forecasts)
+	for _, f := range forecasts[:min(len(forecasts), maxLoggedForecasts)] {
+		ended := float64(max(1, f.Ended))
+		o.log.WithFields(logrus.Fields{
+			"queue": f.Queue, "ended": f.Ended, "within_median": round(float64(f.WithinMedian) / ended), "within_p90": round(float64(f.WithinHigh) / ended),
+			"predicted_s": round(f.PredictedSeconds / ended), "actual_s": round(f.ActualSeconds / ended), "deviation": round(f.Deviation), "observations": round(f.Observations),
+		}).Info("scheduler: forecast")
+	}
+}
+
+// Forecasts returns how the predictions compare with the run times, as logged last. It may be
+// called by other goroutines than the event loop.
+func (o *Owner) Forecasts() []cell.Forecast {
+	if forecasts := o.forecasts.Load(); forecasts != nil {
+		return *forecasts
+	}
+	return nil
+}
+
+// round returns a number with two decimals, for the log.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // logEntries logs the decisions of the cell.
 func (o *Owner) logEntries(entries []cell.LogEntry) {
 	for _, n := range entries {
@@ -42,7 +80,7 @@
 			fields["age_ms"] = n.Age.Milliseconds()
 		}
 		if n.Work != 0 {
-			fields["aim_ms"], fields["work_s"] = n.Objective.Milliseconds(), math.Round(100*n.Work)/100
+			fields["aim_ms"], fields["work_s"] = n.Objective.Milliseconds(), round(n.Work)
 		}
 		o.log.WithFields(fields).Info("cell: " + n.Event)
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -124,8 +124,10 @@
 	// what it wrote.
 	lastLearned time.Duration
 	learned     learnedRows
-	// lastLoadLog is when the load was last logged.
-	lastLoadLog time.Duration
+	// lastLoadLog is when the load was last logged, and lastForecastLog when forecasts was.
+	lastLoadLog, lastForecastLog time.Duration
+	// forecasts is what was last logged about predicted run times, for other goroutines.
+	forecasts atomic.Pointer[[]cell.Forecast]
 	// resigning is closed once the owner has been asked to release the cell.
 	resigning     chan struct{}
 	resigningOnce sync.Once
