cell: outlook on workers of two kinds, by their own speeds

Cause: placement by predicted end was enabled by the level of the slowest tenth. In a fleet of equal workers noise reached that level, and in one of speeds 1.0, 1.0 and 1.3 the slow kind is at the usual level, so that it was never enabled.

Change: it is enabled where a quarter of the workers are a level slower than another quarter, and compares their speeds without rounding.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -61,8 +61,7 @@
 	eligibleRatios  eligibleRatios
 	// meanSpeedOffset is the mean speedOffset of the workers.
 	meanSpeedOffset float64
-	// slowSpeed is the speed of the slower workers, without the slowest tenth.
-	slowSpeed float64
+	speedRange      speedRange
 	// calibrations compares predictions with run times, by queue, since the last TakeForecasts.
 	calibrations map[string]forecast.Calibration
 	// spreads holds the spreads of queues by the models in use.
@@ -76,7 +75,7 @@
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, calibrations: map[string]forecast.Calibration{}, slowSpeed: 1}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, calibrations: map[string]forecast.Calibration{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/outlook.go
+++ b/cell/outlook.go
@@ -1,14 +1,35 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// slowWorkersShare is the part of the workers that may be slower than the speed that decides
-// whether a job depends on the speed of its workers: single slow workers are no kind of workers.
-const slowWorkersShare = 0.1
+// minKindShare is the part of the workers from which slow or fast ones count as a kind of
+// workers. Of equal workers fewer are off by a level.
+const minKindShare = 0.25
+
+// speedRange holds the speed levels of the slow and the fast workers, as far as these are a
+// kind of workers. They are equal where the workers are.
+type speedRange struct{ slow, fast int }
+
+// updateFleetSpeeds computes the mean speed of the workers and the range of their levels.
+func (c *Cell) updateFleetSpeeds() {
+	sum, levels := 0.0, make([]int, 0, len(c.sortedWorkers))
+	for _, w := range c.sortedWorkers {
+		sum += w.speedOffset
+		levels = append(levels, w.speedLevel())
+	}
+	n := len(levels)
+	if n == 0 {
+		return
+	}
+	slices.Sort(levels)
+	i := int(minKindShare * float64(n))
+	c.meanSpeedOffset, c.speedRange = sum/float64(n), speedRange{slow: levels[i], fast: levels[n-1-i]}
+}
 
 // spread is the distribution of the run times of a queue, as far as placement needs it.
 type spread struct {
@@ -50,6 +71,8 @@
 type taskDeadline struct {
 	// left is the time until the job of the task can't be in time any more.
 	left time.Duration
+	// meanSpeed is the mean speed of the workers.
+	meanSpeed float64
 	// median and high are the times within which the task ends evenly and likely.
 	median, high time.Duration
 }
@@ -59,10 +82,11 @@
 // times and little slack in seconds, hasTightDeadline decides as ever.
 func (c *Cell) dependsOnSpeed(j *job, queue workload.Queue) bool {
 	s := c.spreadOf(queue.Name)
-	if !s.observed || c.slowSpeed >= 1 || !s.varied && j.hasTightDeadline(queue) {
+	if !s.observed || c.speedRange.slow == c.speedRange.fast || !s.varied && j.hasTightDeadline(queue) {
 		return false
 	}
-	return float64(j.objective(queue))*c.slowSpeed < float64(j.longestChain)*s.high
+	slow := float64(c.speedRange.slow) / speedLevels
+	return float64(j.objective(queue))*slow < float64(j.longestChain)*s.high
 }
 
 // deadlineOf returns the deadline of the tasks of a step for the choice of their workers, or the
@@ -73,7 +97,7 @@
 	}
 	centre, times := c.durations[queue.Name].Centre(s.Estimate), c.spreadOf(queue.Name)
 	return taskDeadline{
-		left:   s.latestStart(queue) + centre - now - c.recordDelay,
+		left: s.latestStart(queue) + centre - now - c.recordDelay, meanSpeed: 1 + c.meanSpeedOffset,
 		median: time.Duration(times.median * float64(centre)), high: time.Duration(times.high * float64(centre)),
 	}
 }
@@ -81,10 +105,9 @@
 // applies reports whether the deadline is used for the choice of workers.
 func (d taskDeadline) applies() bool { return d.high > 0 }
 
-// on returns the outlook of a task that starts on a worker now. Like all comparisons of speeds
-// it goes by levels, so that it doesn't follow the noise in them.
+// on returns the outlook of a task that starts on a worker now.
 func (d taskDeadline) on(w *worker) outlook {
-	usable := time.Duration(float64(d.left) * float64(w.speedLevel()) / speedLevels)
+	usable := time.Duration(float64(d.left) * (1 + w.speedOffset) / d.meanSpeed)
 	switch {
 	case usable >= d.high:
 		return good
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -90,23 +90,6 @@
 	w.speedOffset += weight * (relative - 1 - w.speedOffset) / workerSpeedWeight
 }
 
-// updateFleetSpeeds computes the mean speed of the workers and that of the slower ones.
-func (c *Cell) updateFleetSpeeds() {
-	sum, count := 0.0, map[int]int{}
-	for _, w := range c.sortedWorkers {
-		sum += w.speedOffset
-		count[w.speedLevel()]++
-	}
-	c.meanSpeedOffset = sum / float64(max(1, len(c.sortedWorkers)))
-	level, slower := 0, 0
-	for ; level < speedLevels; level++ {
-		if slower += count[level]; float64(slower) > slowWorkersShare*float64(len(c.sortedWorkers)) {
-			break
-		}
-	}
-	c.slowSpeed = float64(level) / speedLevels
-}
-
 // speedOf returns the speed of a worker relative to the mean of the workers. A change that all
 // workers show alike is thus one of the tasks, not of the workers.
 func (c *Cell) speedOf(w *worker) float64 { return (1 + w.speedOffset) / (1 + c.meanSpeedOffset) }
