front: a host that misses a version reads it again

If the store loses the answer to the feed call of the configuration, the host keeps its version until the call ends: 16.8 s in the new test, where versions must be in force within config_ms (2.5 or 4 s). Other calls of the host may be answered meanwhile, so that it does not notice.

The owner's announcements now carry the version that it has in force, and the owner sends one when that changes; calls tell the owner's host the version of theirs. A host that has no version as new half of config_ms later makes its feed call again, once for each version. The time leaves a large row that is still being read alone, which 20 hosts over a link of 60 Mbit/s take 1 s for. A request to make the call again that is older than the call is dropped, and if the list after such a request fails, as it may on a slow link, the feed follows, in place of lists for ever.

--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -255,10 +255,18 @@
 
 // call makes a call as a caller, and returns its status and body; status 0 is no response.
 func (d *deployment) call(h *hostProcess, method, path, body string) (int, string) {
+	return d.callWithKey(h, "", method, path, body)
+}
+
+// callWithKey is like call, with the key of an organisation unless it is "".
+func (d *deployment) callWithKey(h *hostProcess, key, method, path, body string) (int, string) {
 	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", h.ip, callerPort, path), strings.NewReader(body))
 	qt.Assert(d.t, err, qt.IsNil)
 	request.Host = "a.example"
 	request.Header.Set("Timeout-Ms", "3000")
+	if key != "" {
+		request.Header.Set("X-Api-Key", key)
+	}
 	r, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, ""
--- a/front/host.go
+++ b/front/host.go
@@ -33,10 +33,6 @@
 	maxStartLease = 2500 * time.Millisecond
 	// maxClockSkew bounds the relative error by which the clocks of workers may run slow.
 	maxClockSkew = 0.03
-	// cataloguePauseShare is the longest pause between two reads of a large catalogue, as a
-	// share of the time within which a version must be in force. The rest is for the read: at
-	// 10 Mbit/s one of 1,450 queues takes 0.3 s, and one that fails is repeated after 1.8 s.
-	cataloguePauseShare = 0.375
 	// maxQueuedQuestions bounds the questions queued at one host.
 	maxQueuedQuestions = 64
 )
@@ -82,6 +78,8 @@
 	// nearStore reports whether a call was fast enough for the store to be in this region.
 	nearStore bool
 	owner     *scheduler.Owner
+	// newestCatalogue is the newest version of which another host has told.
+	newestCatalogue int64
 	// waves holds the operator's waves by number.
 	waves map[int64]upkeep.Wave
 }
@@ -199,36 +197,3 @@
 	}
 	return true
 }
-
-// watchCatalogue follows the operator's table: the catalogue of queues, and waves. A version
-// that is listed again is not decoded again.
-func (h *Host) watchCatalogue(ctx context.Context) {
-	var decoded ledger.Version
-	onChange := func(r ledger.Row) {
-		if h.handleWaveRow(r) || r.Key != platform.CatalogueKey || r.Deleted || r.Version == decoded {
-			return
-		}
-		decoded = r.Version
-		c, err := platform.DecodeCatalogue(r)
-		if err != nil {
-			h.log.WithField("why", err.Error()).Warn("front: invalid operator configuration ignored")
-			return
-		}
-		if !h.forwarder.SetCatalogue(c) {
-			return
-		}
-		h.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues), "organisations": len(c.Organisations), "checks_keys": c.ChecksKeys}).Info("front: configuration in force")
-		for _, fault := range c.Faults {
-			h.log.WithFields(logrus.Fields{"version": c.Version, "why": fault}).Warn("front: part of the configuration ignored")
-		}
-		if o := h.localOwner(); o != nil {
-			o.SetCatalogue(c)
-		}
-	}
-	ledger.Watch{
-		Store: h.store, Table: platform.OperatorTable,
-		OnChange: onChange, ListAfterGap: true, Reissue: h.catalogueRefresh.Values(),
-		LargeRowPause: time.Duration(cataloguePauseShare * float64(h.settings().CatalogueTime)),
-		OnError:       func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
-	}.Run(ctx)
-}
--- a/front/key.go
+++ b/front/key.go
@@ -19,14 +19,8 @@
 	for timer.Sleep(ctx, refusedKeysLogInterval) {
 		m, u := h.ingress.MissingKeys.Load(), h.ingress.UnknownKeys.Load()
 		if m != missing || u != unknown {
-			h.log.WithFields(logrus.Fields{"missing": m - missing, "unknown": u - unknown, "version": h.catalogueVersion()}).Warn("front: requests refused for their keys")
+			h.log.WithFields(logrus.Fields{"missing": m - missing, "unknown": u - unknown, "version": h.forwarder.CatalogueVersion()}).Warn("front: requests refused for their keys")
 		}
 		missing, unknown = m, u
 	}
 }
-
-// catalogueVersion returns the version of the catalogue in force, or 0 if there is none.
-func (h *Host) catalogueVersion() int64 {
-	c, _ := h.forwarder.Catalogue()
-	return c.Version
-}
--- a/front/link.go
+++ b/front/link.go
@@ -62,6 +62,7 @@
 
 // handleCall handles a call that another host has forwarded.
 func (h *Host) handleCall(from string, c intake.Call) {
+	h.noteCatalogueVersion(from, c.CatalogueVersion)
 	if o := h.localOwner(); o != nil {
 		o.HandleCall(from, c)
 		return
@@ -194,6 +195,7 @@
 // handleAnnouncement handles the announcement of an owner. It does not count as a renewal:
 // the owner may be cut off from the store.
 func (h *Host) handleAnnouncement(from string, t OwnerAnnouncement) {
+	h.noteCatalogueVersion(from, t.CatalogueVersion)
 	h.updateLease(func(now time.Duration, state tenure.LeaseState) tenure.LeaseState {
 		if t.Fence <= state.Fence {
 			return state
--- a/front/serve.go
+++ b/front/serve.go
@@ -108,7 +108,7 @@
 	line("missing_keys_total", h.ingress.MissingKeys.Load())
 	line("unknown_keys_total", h.ingress.UnknownKeys.Load())
 	line("withdrawn_keys_total", h.counters.WithdrawnKeys.Load())
-	line("configuration_version", h.catalogueVersion())
+	line("configuration_version", h.forwarder.CatalogueVersion())
 	line("unknown_cancels_total", h.counters.UnknownCancels.Load())
 	line("starts_total", h.counters.Starts.Load())
 	line("stops_total", h.counters.Stops.Load())
@@ -136,7 +136,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
 		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": own,
-		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.catalogueVersion(),
+		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.forwarder.CatalogueVersion(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
 	}
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -61,6 +61,8 @@
 	Interval time.Duration `cbor:"3,keyasint"`
 	// Stalled reports that the store records nothing for the owner.
 	Stalled bool `cbor:"4,keyasint,omitempty"`
+	// CatalogueVersion is the version of the catalogue that the sender has in force.
+	CatalogueVersion int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // watchLease follows the lease of the cell.
@@ -339,7 +341,7 @@
 
 func (h *Host) announceOwner() {
 	h.mu.Lock()
-	t := OwnerAnnouncement{Owner: h.lease.Owner, Fence: h.lease.Fence, Interval: h.announceInterval()}
+	t := OwnerAnnouncement{Owner: h.lease.Owner, Fence: h.lease.Fence, Interval: h.announceInterval(), CatalogueVersion: h.forwarder.CatalogueVersion()}
 	if h.owner != nil {
 		t.Stalled = h.owner.StoreStalled()
 	}
--- a/intake/forwarder.go
+++ b/intake/forwarder.go
@@ -85,6 +85,16 @@
 	return *f.catalogue, true
 }
 
+// CatalogueVersion returns the version in force, or 0 if there is none yet.
+func (f *Forwarder) CatalogueVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.catalogue == nil {
+		return 0
+	}
+	return f.catalogue.Version
+}
+
 // Submit submits a job.
 func (f *Forwarder) Submit(ctx context.Context, by Credential, job workload.Job) Reply {
 	return f.forward(ctx, Call{Verb: Submit, Queue: job.Queue, ID: job.ID, Job: job, Credential: by})
--- a/ledger/large_row_test.go
+++ b/ledger/large_row_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// The same for a list that follows a feed call that was made again (CONFIG).
+func TestWatchReadsByFeedIfListAfterReissueFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, reissue, read := newHistoryStore(64<<10), make(chan struct{}, 1), make(chan ledger.Version, 10)
+		s.write()
+		go ledger.Watch{Store: s, Table: "t", ListAfterGap: true, Reissue: reissue, OnChange: func(r ledger.Row) { read <- r.Version }}.Run(ctx)
+		qt.Assert(t, <-read, qt.Equals, ledger.Version(1))
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.failLists = 1000
+		s.mu.Unlock()
+		reissue <- struct{}{}
+		synctest.Wait()
+		s.write()
+		begun := time.Now()
+		qt.Assert(t, <-read, qt.Equals, ledger.Version(2))
+		qt.Assert(t, time.Since(begun) <= time.Second, qt.IsTrue)
+		cancel()
+	})
+}
+
 // Small rows are cheap to read, and their changes must not wait.
 func TestWatchReportsSmallRowsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -55,7 +55,8 @@
 	// again. The feed would return each version of a row that was written meanwhile.
 	ListAfterGap bool
 	// Reissue delivers requests to cancel the feed call in flight, which the store may
-	// have lost, and to make it again. It may be nil.
+	// have lost, and to make it again. A request from before the call has no effect. It may be
+	// nil.
 	Reissue <-chan struct{}
 }
 
@@ -109,6 +110,9 @@
 	// hasLargeChange reports whether the last call returned a change of a large row, for which
 	// alone the rows are listed after a pause.
 	hasLargeChange bool
+	// feedAfterFailedList reports whether the feed follows if the list fails, rather than
+	// another list.
+	feedAfterFailedList bool
 }
 
 // step makes the next call and returns the new state.
@@ -116,13 +120,13 @@
 	if p.needsList {
 		after, large, err := w.list(ctx, p.after)
 		if err != nil {
-			if p.hasLargeChange {
+			if p.feedAfterFailedList {
 				// A list has less time for its answer than a feed, and a slow link may need more.
-				p.needsList, p.hasLargeChange = false, false
+				p.needsList, p.hasLargeChange, p.feedAfterFailedList = false, false, false
 			}
 			return p, err
 		}
-		return watchState{after: after, needsList: large, needsRelist: p.needsRelist, hasLargeChange: large}, nil
+		return watchState{after: after, needsList: large, needsRelist: p.needsRelist, hasLargeChange: large, feedAfterFailedList: large}, nil
 	}
 	wait := w.feedWait()
 	if p.needsRelist {
@@ -134,9 +138,11 @@
 		return watchState{needsList: true, needsRelist: true}, err
 	case err != nil:
 		p.needsList = p.needsList || w.ListAfterGap
+		p.feedAfterFailedList = errors.Is(err, errReissue)
 		return p, err
 	default:
-		return watchState{after: after, needsList: p.needsRelist || large, hasLargeChange: large && !p.needsRelist}, nil
+		onlyLarge := large && !p.needsRelist
+		return watchState{after: after, needsList: p.needsRelist || large, hasLargeChange: onlyLarge, feedAfterFailedList: onlyLarge}, nil
 	}
 }
 
@@ -180,6 +186,10 @@
 // readFeed makes one feed call and reports its changes. It returns the version from which
 // the feed continues, and whether a large row has changed.
 func (w Watch) readFeed(ctx context.Context, after Version, wait time.Duration) (version Version, large bool, err error) {
+	select {
+	case <-w.Reissue:
+	default:
+	}
 	limited, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -68,6 +68,19 @@
 	<-ended
 }
 
+// A version of a large row takes its time on a slow link. A request that arrived before its read
+// began must not make the watch read it once more.
+func TestReissueFromBeforeCallHasNoEffect(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	store := &lostFeedStore{feedCalls: make(chan struct{}, 10)}
+	reissue := make(chan struct{}, 1)
+	reissue <- struct{}{}
+	ledger.Watch{Store: store, Table: "t", Reissue: reissue, OnChange: func(ledger.Row) {}}.Run(ctx)
+	qt.Assert(t, store.feedCalls, qt.HasLen, 1)
+	qt.Assert(t, reissue, qt.HasLen, 0)
+}
+
 // droppedHistoryStore drops its history. A row that is written meanwhile is neither in
 // the next list nor in the feed after it.
 type droppedHistoryStore struct {
--- a/platformstandin/document.go
+++ b/platformstandin/document.go
@@ -12,26 +12,51 @@
 	Attempts int
 	// Advised makes the queue ask the advice service.
 	Advised bool
+	// Public makes calls need no key.
+	Public bool
+}
+
+// Organisation describes an organisation in a catalogue.
+type Organisation struct {
+	Name   string
+	Keys   []string
+	Weight float64
+	// MaxProcessors limits its running tasks, in thousandths of a processor; 0 is no limit.
+	MaxProcessors int64
 }
 
 // ServiceName is the service of all queues and workers in these documents.
 const ServiceName = "s"
 
 // CatalogueDocument returns a version of the catalogue with routes to the queues under a
-// virtual host.
-func CatalogueDocument(version int, host string, queues []Queue) ([]byte, error) {
+// virtual host. Calls need a key if organisations are given.
+func CatalogueDocument(version int, host string, queues []Queue, organisations ...Organisation) ([]byte, error) {
 	routes := []map[string]any{}
 	for _, q := range queues {
 		route := map[string]any{
 			"name": q.Name, "host": host, "path_prefix": "/" + q.Name + "/", "timeout_ms": 3000, "slo_ms": 500,
-			"service": ServiceName, "attempts": q.Attempts, "stretch": 2,
+			"service": ServiceName, "attempts": q.Attempts, "stretch": 2, "public": q.Public,
 		}
 		if q.Advised {
 			route["advice"] = map[string]int{"decide_ms": 5, "each_ms": 1, "valid_ms": 2000}
 		}
 		routes = append(routes, route)
 	}
-	return json.Marshal(map[string]any{"version": version, "routes": routes, "services": []map[string]string{{"name": ServiceName}}})
+	document := map[string]any{"version": version, "routes": routes, "services": []map[string]string{{"name": ServiceName}}}
+	if tenants := tenants(organisations); len(tenants) > 0 {
+		document["tenants"] = tenants
+	}
+	return json.Marshal(document)
+}
+
+func tenants(organisations []Organisation) []map[string]any {
+	var list []map[string]any
+	for _, o := range organisations {
+		list = append(list, map[string]any{
+			"name": o.Name, "api_keys": o.Keys, "weight": o.Weight, "max_count": map[string]int64{"cpu": o.MaxProcessors, "mem_mb": 0, "gpu": 0},
+		})
+	}
+	return list
 }
 
 // The states of a worker.
