ledger, front: an owner that the store refuses is replaced sooner

The owner called itself stalled 0.9 s after its last transaction, as for a slow store, and told so with its next announcement, up to 0.43 s later.

The store says of a refused transaction that it did nothing. After 0.3 s of such answers the owner now counts as stalled, and says so at once. A slow store doesn't refuse, and a candidate must be served by the store itself.

--- a/front/tenure.go
+++ b/front/tenure.go
@@ -23,6 +23,8 @@
 	candidateInterval = 100 * time.Millisecond
 	// takeoverTimeout bounds the acquisition of the cell.
 	takeoverTimeout = 3 * time.Second
+	// stallCheckInterval is the interval at which an owner checks whether an announcement is due.
+	stallCheckInterval = 50 * time.Millisecond
 	// announceIntervalPerMember is the part of the announcement interval per member, so
 	// that the owner of a large cell sends at most a hundred announcements a second.
 	announceIntervalPerMember = 10 * time.Millisecond
@@ -326,10 +328,19 @@
 	return h.owner
 }
 
-// announcePeriodically announces the owner to the members while it runs on this host.
+// announcePeriodically announces the owner to the members while it runs on this host, and at
+// once when the store stops serving it: the next owner can take the cell only then.
 func (h *Host) announcePeriodically(ctx context.Context) {
-	for timer.Sleep(ctx, h.announceInterval()) {
-		if h.localOwner() != nil {
+	announcedAt, stalled := time.Duration(0), false
+	for timer.Sleep(ctx, stallCheckInterval) {
+		o := h.localOwner()
+		if o == nil {
+			continue
+		}
+		now, wasStalled := clock.Now(), stalled
+		stalled = o.StoreStalled()
+		if stalled && !wasStalled || now-announcedAt >= h.announceInterval() {
+			announcedAt = now
 			h.announceOwner()
 		}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -111,6 +111,9 @@
 	lastCommit atomic.Int64
 	// ownedAt is when the last confirmed transaction was first sent, in nanoseconds.
 	ownedAt atomic.Int64
+	// refusedSince is since when the store has answered that it did not carry out the
+	// transaction in flight, in nanoseconds; 0 if its last answer was another one.
+	refusedSince atomic.Int64
 	// timeout is how long the store may take to answer the next transaction before its
 	// outcome is checked.
 	timeout adaptiveTimeout
@@ -248,6 +251,7 @@
 	begun := l.now()
 	for {
 		version, err := l.tryCommit(ctx, t, id)
+		l.noteRefusal(errors.Is(err, ErrUnavailable))
 		if err == nil {
 			l.confirm(begun, version)
 			return nil
@@ -270,6 +274,22 @@
 	}
 }
 
+// noteRefusal notes whether the store has refused to carry out a transaction.
+func (l *Ledger) noteRefusal(refused bool) {
+	if !refused {
+		l.refusedSince.Store(0)
+		return
+	}
+	l.refusedSince.CompareAndSwap(0, int64(l.now()))
+}
+
+// RefusedSince returns since when the store has refused each try of the transaction in flight,
+// or false if it did not refuse the last one.
+func (l *Ledger) RefusedSince() (since time.Duration, ok bool) {
+	since = time.Duration(l.refusedSince.Load())
+	return since, since != 0
+}
+
 // resolveConflict finds out from the head row whether an earlier copy of the transaction
 // took effect. The first copy was sent at begun.
 func (l *Ledger) resolveConflict(begun time.Duration, rows []Row, id string) error {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -21,6 +21,10 @@
 	// commit before the owner reports a stall to the other hosts, which take the cell
 	// over if the store serves them.
 	storeStallTimeout = 900 * time.Millisecond
+	// storeRefusalTimeout is how long the store may refuse the transaction in flight before the
+	// owner reports a stall. A store that is merely slow doesn't refuse, and one that refuses
+	// all hosts answers no host that could take the cell.
+	storeRefusalTimeout = 300 * time.Millisecond
 	// minRefusalThreshold is the minimum age of the transaction in flight at which new
 	// jobs are refused. A store that is 100 times slower than usual takes 1 s and still
 	// records.
@@ -122,6 +126,9 @@
 // one counts as progress.
 func (o *Owner) StoreStalled() bool {
 	now := clock.Now()
+	if since, refused := o.ledger.RefusedSince(); refused && now-since > storeRefusalTimeout {
+		return true
+	}
 	return o.commitAge(now) > storeStallTimeout && now-o.ledger.LastCommit() > storeStallTimeout
 }
 
