--- a/cell/remaining_test.go
+++ b/cell/remaining_test.go
@@ -10,19 +10,8 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
-// learnVaried lets 20 jobs of a queue end whose tasks take the given times, in turn.
-func (w *world) learnVaried(queue string, estimate time.Duration, took ...time.Duration) {
-	for n := range 20 {
-		w.submit(job(id(1000+n), queue, 1, func(s *workload.Step) { s.Estimate = estimate }))
-		w.advance(took[n%len(took)])
-		for _, f := range w.workers {
-			f.endAll(cell.EndedDone)
-		}
-		w.reportAll()
-	}
-}
-
-// work advances the clock while each run progresses as if it took the time that total returns.
+// work advances the clock while each run of job 1 progresses as if it took the time that total
+// returns for its task.
 func (w *world) work(length time.Duration, total func(index int) time.Duration) {
 	begun := w.now
 	for end := w.now + length; w.now < end; {
@@ -50,17 +39,15 @@
 		"Alike":  {[]time.Duration{10 * second}, map[int]bool{0: true, 5: true, 10: true, 15: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
 			w := newWorld(4)
-			w.learnVaried("Plain", 10*second, test.took...)
+			w.learnTimes(10*second, test.took, []string{"w0", "w1", "w2", "w3"}, 1, 1, 1, 1)
 			w.submit(job(id(1), "Plain", 20, func(s *workload.Step) { s.Estimate, s.Checkpoints = 10*second, true }))
-			total := func(index int) time.Duration {
-				if index%5 < 4 {
-					return 2400 * ms
+			w.work(1600*ms, func(index int) time.Duration {
+				if index%5 == 4 {
+					return 20 * second
 				}
-				return 20*second + time.Duration(index)*ms
-			}
-			w.work(1600*ms, total)
+				return 2400 * ms
+			})
 			w.submit(job(id(2), "Advised", 4, func(s *workload.Step) { s.Gang, s.MaxPerWorker, s.Estimate = true, 1, second }))
 			for range 2 {
 				w.advise(func(string) bool { return true })
@@ -71,16 +58,16 @@
 			for _, s := range w.stops {
 				stopped[s.Task.Index] = true
 			}
-			c.Assert(stopped, qt.DeepEquals, test.want)
+			qt.Assert(t, stopped, qt.DeepEquals, test.want)
 		})
 	}
 }
 
-// A reservation or a preemption that counts on the end of a run must neither wait for one that
-// hangs nor count on the usual time for one that runs longer.
+// What counts on the end of a run must neither wait for one that hangs nor count on the usual
+// time for one that runs longer, also after a takeover.
 func TestRemainingTimeFollowsProgress(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(2)
+	w, next := newWorld(2), newWorld(0)
 	w.submit(job(id(1), "Plain", 2, func(s *workload.Step) { s.Estimate = 5 * second }))
 	w.submit(job(id(3), "Plain", 1, func(s *workload.Step) { s.Daemon, s.Estimate = true, 5*second }))
 	task := func(n, index int) workload.TaskID {
@@ -98,7 +85,6 @@
 	w.now += 2400 * ms
 	w.reportAll()
 	near("hanging", w.Remaining(w.now, task(1, 1), 0.5), 3100*ms)
-	next := newWorld(0)
 	next.now, next.workers = w.now, w.workers
 	for _, f := range w.workers {
 		next.HandleAnnouncement(next.now, f.Worker)
@@ -109,3 +95,17 @@
 	w.Cancel(w.now, id(1))
 	c.Check(w.Remaining(w.now, task(1, 1), 0.9) <= second, qt.IsTrue)
 }
+
+// learnTimes lets 60 jobs end whose tasks take the given times in turn, on the named workers of
+// the given speeds, the fastest first.
+func (w *world) learnTimes(estimate time.Duration, took []time.Duration, workers []string, speeds ...float64) {
+	for n := range 60 {
+		w.submit(job(id(1000+n), "Plain", 5*len(workers), func(s *workload.Step) { s.Estimate = estimate }))
+		begun := w.now
+		for i, name := range workers {
+			w.advance(begun + time.Duration(float64(took[n%len(took)])/speeds[i]) - w.now)
+			w.workers[name].endAll(cell.EndedDone)
+			w.reportAll()
+		}
+	}
+}
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -135,3 +135,20 @@
 	w.submit(job(id(101), "Plain", 5, hurry))
 	c.Assert(w.workers["w2"].running, qt.HasLen, 5)
 }
+
+// Workers differ in speed, and then all tasks become twice as long. If speed and length explained
+// the same deviation, predictions would be off by it twice on some workers, or all workers would
+// count as slow.
+func TestWorkerSpeedIsKeptApartFromTaskLength(t *testing.T) {
+	w := newWorld(3)
+	for _, took := range []time.Duration{10 * second, 20 * second} {
+		w.learnTimes(10*second, []time.Duration{took}, []string{"w1", "w2", "w0"}, 1.25, 1, 0.8)
+		w.submit(job(id(1), "Plain", 3, func(s *workload.Step) { s.Estimate, s.MaxPerWorker = 10*second, 1 }))
+		for name, speed := range map[string]float64{"w0": 0.8, "w1": 1.25, "w2": 1} {
+			got := w.Remaining(w.now, w.workers[name].running[0].Task, 0.5).Seconds() * speed / took.Seconds()
+			qt.Check(t, got > 0.93 && got < 1.07, qt.IsTrue, qt.Commentf("%.3f of the time on %s", got, name))
+		}
+		w.Cancel(w.now, id(1))
+		w.step()
+	}
+}
