--- a/decision/admit.go
+++ b/decision/admit.go
@@ -107,7 +107,7 @@
 	a := t.allotmentOf(partition)
 	all := size.Times(int64(c.concurrentTasks(w)))
 	switch {
-	case a.quota.IsZero() || withinQuota(all, a.quota):
+	case all.Fits(a.quota.Headroom(task.Size{})):
 		return ""
 	case a.partCount > 1:
 		return fmt.Sprintf("The work takes %v at once, and the quota of team %s is %v, of which its partition has one of %d parts.",
--- a/decision/allotment.go
+++ b/decision/allotment.go
@@ -76,19 +76,9 @@
 
 // allows reports whether size fits in the part besides what is used.
 func (a *allotment) allows(size task.Size) bool {
-	return a.quota.IsZero() || withinQuota(a.used.Plus(size), a.quota)
+	return a.quota.IsZero() || size.Fits(a.quota.Headroom(a.used))
 }
 
-// withinQuota reports whether used does not exceed a quota, of which a zero
-// field is no limit.
-func withinQuota(used, quota task.Size) bool {
-	return withinLimit(used.Processors, quota.Processors) && withinLimit(used.Memory, quota.Memory) &&
-		withinLimit(used.Accelerators, quota.Accelerators) && withinLimit(used.Slots, quota.Slots) &&
-		withinLimit(used.Connections, quota.Connections)
-}
-
-func withinLimit(used, limit int64) bool { return limit == 0 || used <= max(limit, 0) }
-
 // reassignAllotments assigns each job to its part after the quotas or the
 // partitions changed. The usage of its attempts moves with it.
 func (c *Core) reassignAllotments() {
--- a/decision/learn.go
+++ b/decision/learn.go
@@ -19,7 +19,7 @@
 	if learned == declared || !c.cell.fitsEmptyWorker(learned, c.now) {
 		return declared
 	}
-	if q := j.allotment.quota; !q.IsZero() && !withinQuota(learned.Times(int64(c.concurrentTasks(j.work))), q) {
+	if !learned.Times(int64(c.concurrentTasks(j.work))).Fits(j.allotment.quota.Headroom(task.Size{})) {
 		return declared
 	}
 	return learned
--- a/task/size.go
+++ b/task/size.go
@@ -73,6 +73,26 @@
 		s.Connections <= free.Connections
 }
 
+// Headroom returns what may be added to used within the limit s. A zero field of s is no limit,
+// and is math.MaxInt64 in the result; a negative one allows nothing. Fields of the result are
+// negative where used exceeds the limit.
+func (s Size) Headroom(used Size) Size {
+	return Size{
+		Processors:   headroom(s.Processors, used.Processors),
+		Memory:       headroom(s.Memory, used.Memory),
+		Accelerators: headroom(s.Accelerators, used.Accelerators),
+		Slots:        headroom(s.Slots, used.Slots),
+		Connections:  headroom(s.Connections, used.Connections),
+	}
+}
+
+func headroom(limit, used int64) int64 {
+	if limit == 0 {
+		return math.MaxInt64
+	}
+	return max(limit, 0) - used
+}
+
 // CountIn returns how many times s fits into free, or 0 if s has no positive field.
 func (s Size) CountIn(free Size) int64 {
 	count := int64(math.MaxInt64)
