cell: runs count for their organisation, whose limit starts respect

An organisation's running total over all workers must stay within its limit. Each run counts for the organisation of its job, with the full size of its step, from placement or takeover until it is closed. A step without headroom is left out of the scheduling pass: it asks, holds and preempts nothing, and takes no place among the steps that a pass evaluates. What it needs to start is reserved from the steps of its organisation ranked after it, unless it exceeds the whole limit or could never start. Of steps without an answer only as many ask as the headroom allows.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/organisation"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -61,11 +62,15 @@
 	durations        map[string]DurationModel
 	durationVersion  int
 	durationsChanged bool
+	// usage is what may be running for each organisation. heldBack is the number of steps that the
+	// limits kept waiting in the last scheduling pass, by organisation.
+	usage    organisation.Usage
+	heldBack map[string]int
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]DurationModel{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]DurationModel{}, heldBack: map[string]int{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
@@ -75,6 +80,7 @@
 		return
 	}
 	c.catalogue, c.queues = catalogue, catalogue.QueuesByName()
+	c.usage.SetLimits(catalogue.Organisations)
 	c.stale = true
 }
 
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -37,6 +37,7 @@
 		number = max(number, t.lastRun)
 	}
 	releaseBooked(s)
+	s.isHolding = false
 	list := c.candidates(now, s, queue)
 	plan := planGang(s, c.withTickets(now, s, queue, list))
 	if plan == nil {
@@ -129,6 +130,7 @@
 		// capacity for nothing.
 		return
 	}
+	s.isHolding = true
 	list := c.candidates(now, s, queue)
 	heldTasks := map[*worker]int{}
 	hold := func(w *worker) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/task"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
@@ -57,6 +58,11 @@
 	preemptTriedAt time.Duration
 	// preemptedUntil is when the runs that were preempted for the gang have stopped.
 	preemptedUntil time.Duration
+	// isHolding reports whether the gang held capacity when it was last evaluated.
+	isHolding bool
+	// reservedBefore is the headroom that the limit of its organisation reserves, in the current
+	// scheduling pass, for steps ranked before.
+	reservedBefore task.Size
 }
 
 // taskRecord is the state of one task.
--- a/cell/place.go
+++ b/cell/place.go
@@ -77,6 +77,9 @@
 		if !t.needsRun(now) {
 			continue
 		}
+		if c.headroomCount(s) == 0 {
+			return
+		}
 		w := bestWorker(s, allowed, nil)
 		if w == nil {
 			c.askForTickets(now, s, queue, list)
@@ -94,7 +97,7 @@
 	if queue.Advice == nil || s.tickets.awaitsAnswer(now) {
 		return
 	}
-	wanted := askedCapacityFactor * s.waitingTaskCount(now)
+	wanted := askedCapacityFactor * c.startableCount(now, s)
 	var withCapacity, busy []*worker
 	for _, w := range eligible {
 		switch {
--- a/cell/property_test.go
+++ b/cell/property_test.go
@@ -28,7 +28,10 @@
 	// reportsInTransit holds reports in transit; they may arrive out of order.
 	reportsInTransit []reportInTransit
 	// history holds the log of the trial, printed after a failure.
-	history []string
+	history   []string
+	catalogue workload.Catalogue
+	// organisations are those of random jobs.
+	organisations []string
 }
 
 func (tr *trial) logf(format string, arguments ...any) {
@@ -96,7 +99,9 @@
 }
 
 func newTrial(t *rapid.T) *trial {
-	tr := &trial{t: t, now: time.Hour, jobs: map[string]*trialJob{}}
+	tr := &trial{t: t, now: time.Hour, jobs: map[string]*trialJob{}, catalogue: catalogue()}
+	tr.organisations = rapid.SampledFrom([][]string{{""}, {"a", "b", ""}}).Draw(t, "organisations")
+	tr.drawLimits()
 	for i := range 4 {
 		tr.workers = append(tr.workers, &trialWorker{
 			Worker: workload.Worker{ID: fmt.Sprintf("w%d", i), Service: "S", Address: "x", Life: 1, Labels: []string{"a", fmt.Sprintf("r%d", i/2)},
@@ -108,13 +113,28 @@
 	return tr
 }
 
+// highestLimits are the highest limits of organisations "a" and "b". Any single job fits one
+// below.
+var highestLimits = map[string]task.Size{"a": {Processors: 21 * task.Processor}, "b": {Memory: 6 * task.Gibibyte}}
+
+// drawLimits makes the next version of the catalogue, whose limits may be below what runs.
+func (tr *trial) drawLimits() {
+	lower := rapid.SampledFrom([]task.Size{{}, {Processors: task.Processor, Memory: task.Gibibyte}}).Draw(tr.t, "lower by")
+	tr.catalogue = tr.catalogue.WithOrganisations([]workload.Organisation{
+		{Name: "a", Limit: task.Size{Processors: highestLimits["a"].Processors - lower.Processors}},
+		{Name: "b", Limit: task.Size{Memory: highestLimits["b"].Memory - lower.Memory}},
+	})
+	tr.catalogue.Version++
+	tr.logf("* limits %v", tr.catalogue.Organisations)
+}
+
 // takeOver starts a new owner from the records of the previous one.
 func (tr *trial) takeOver() {
 	tr.fence++
 	tr.logf("* new owner")
 	tr.reportsInTransit = nil
 	tr.cell = cell.New(options())
-	tr.cell.SetCatalogue(catalogue())
+	tr.cell.SetCatalogue(tr.catalogue)
 	for _, w := range tr.workers {
 		if !w.down {
 			tr.cell.HandleAnnouncement(tr.now, w.Worker)
@@ -150,6 +170,7 @@
 			tr.record(c)
 		}
 		tr.checkOrders(actions.Starts)
+		tr.checkLimits(actions.Starts)
 		for _, s := range actions.Starts {
 			tr.send(s)
 		}
@@ -186,6 +207,25 @@
 	}
 }
 
+// checkLimits checks that what counts for each organisation is the sum of the sizes of its runs
+// that are recorded as open, and that it is within the limit after new starts.
+func (tr *trial) checkLimits(starts []cell.Start) {
+	counted := map[string]task.Size{}
+	for _, j := range tr.jobs {
+		for _, s := range j.progress.Steps {
+			for _, t := range s.Tasks {
+				counted[j.Organisation] = counted[j.Organisation].Plus(j.Steps[s.Step].Size.Times(int64(len(t.Runs))))
+			}
+		}
+	}
+	for _, l := range tr.cell.OrganisationLoads() {
+		started := slices.ContainsFunc(starts, func(s cell.Start) bool { return tr.jobs[s.Task.Job].Organisation == l.Name })
+		if l.Used != counted[l.Name] || started && !l.Used.Fits(l.Limit.Headroom(task.Size{})) {
+			tr.fatalf("*", "QUOTA: organisation %s uses %s of %s, its open runs %s", l.Name, l.Used, l.Limit, counted[l.Name])
+		}
+	}
+}
+
 // checkOrders checks the rules for orders to start when they are issued.
 func (tr *trial) checkOrders(starts []cell.Start) {
 	members := map[workload.StepID][]cell.Start{}
@@ -298,6 +338,9 @@
 	if !used.Fits(w.Capacity) {
 		tr.fatalf(w.ID, "LIMIT: %s uses %s of %s", w.ID, used, w.Capacity)
 	}
+	if running := step.Size.Plus(tr.running(j.Organisation)); !running.Fits(highestLimits[j.Organisation].Headroom(task.Size{})) {
+		tr.fatalf(s.Task.Job, "QUOTA: organisation %s runs %s", j.Organisation, running)
+	}
 	queue := catalogue().QueuesByName()[j.Queue]
 	if j.failed[s.Task] >= queue.MaxAttempts {
 		tr.fatalf(s.Task.Job, "BUDGET: %s starts after %d failures", s.Task, j.failed[s.Task])
@@ -323,6 +366,18 @@
 	}
 }
 
+// running returns what runs for an organisation on all workers.
+func (tr *trial) running(organisation string) (size task.Size) {
+	for _, w := range tr.workers {
+		for id := range w.runs {
+			if j := tr.jobs[id.Job]; j.Organisation == organisation {
+				size = size.Plus(j.Steps[id.Step].Size)
+			}
+		}
+	}
+	return size
+}
+
 func (tr *trial) stop(s cell.Stop) {
 	w := tr.worker(s.Worker.ID)
 	if w.down || w.disconnected || tr.fence < w.fence || rapid.IntRange(0, 5).Draw(tr.t, "stop") == 0 {
@@ -505,7 +560,7 @@
 func (tr *trial) randomJob() workload.Job {
 	tr.next++
 	queue := rapid.SampledFrom([]string{"Plain", "Advised", "Twice"}).Draw(tr.t, "queue")
-	j := workload.Job{ID: id(tr.next), Queue: queue, Accepted: tr.now.Milliseconds()}
+	j := workload.Job{ID: id(tr.next), Queue: queue, Accepted: tr.now.Milliseconds(), Organisation: rapid.SampledFrom(tr.organisations).Draw(tr.t, "organisation")}
 	for i := range rapid.IntRange(1, 2).Draw(tr.t, "steps") {
 		s := workload.Step{
 			TaskCount: rapid.IntRange(1, 5).Draw(tr.t, "tasks"), Gang: rapid.Bool().Draw(tr.t, "gang"),
@@ -566,7 +621,11 @@
 
 func (tr *trial) applyRandomEvent() {
 	w := rapid.SampledFrom(tr.workers).Draw(tr.t, "worker")
-	switch rapid.IntRange(0, 21).Draw(tr.t, "act") {
+	switch rapid.IntRange(0, 22).Draw(tr.t, "act") {
+	case 22:
+		tr.drawLimits()
+		tr.cell.SetCatalogue(tr.catalogue)
+		tr.settle()
 	case 16, 17:
 		if !w.disconnected {
 			c := tr.capture(w)
@@ -630,10 +689,10 @@
 	tr.settle()
 }
 
-// The rules TWICE, LIMIT, ORDER, BUDGET, ROUTE, MIXED, GANG, UNASKED, REFUSED and DRAIN hold
+// The rules TWICE, LIMIT, QUOTA, ORDER, BUDGET, ROUTE, MIXED, GANG, UNASKED, REFUSED and DRAIN hold
 // under random orders, losses and delays of all events, with workers that are disconnected,
 // drained and restarted, jobs that are refused after they were given capacity, and owners
-// that are replaced.
+// that are replaced, and limits of organisations that change.
 func TestRulesUnderRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tr := newTrial(t)
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -84,6 +84,5 @@
 	c.applyEvent(r, "Recover")
 	// The earlier owner may have sent the order.
 	r.order.claim()
-	t.runs = append(t.runs, r)
-	w.add(r)
+	c.openRun(s, t, w, r)
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -35,6 +35,10 @@
 	size   task.Size
 	// lasts reports whether the run belongs to a daemon, which does not end by itself.
 	lasts bool
+	// charge is what the run counts against the limit of its organisation: the full size of its
+	// step, also for a filler.
+	charge       task.Size
+	organisation string
 	// worker is the worker's announcement at the time of placement.
 	worker workload.Worker
 	state  chart.State
@@ -139,8 +143,7 @@
 		placedAt: now, progressedAt: now, orderedShare: pace.FullShare,
 	}
 	t.lastRun = number
-	t.runs = append(t.runs, r)
-	w.add(r)
+	c.openRun(s, t, w, r)
 	s.hadRun = true
 	if s.job.state == workload.Queued {
 		s.job.state = workload.Running
@@ -257,7 +260,9 @@
 func (c *Cell) closeRun(now time.Duration, w *worker, r *run) {
 	r.state = closed
 	r.order.revoke()
-	w.remove(r)
+	if w.remove(r) {
+		c.usage.Remove(r.organisation, r.charge)
+	}
 	c.stale = true
 	s, t := c.findTask(r.id)
 	if s == nil {
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -115,11 +115,12 @@
 	c.resetScan()
 	holdingGangs := 0
 	steps := c.waitingSteps(now)
-	c.holdBookings(now, steps)
 	lateQuestions := countLateQuestions(now, steps)
+	steps = c.withoutHeldBack(now, steps)
+	c.holdBookings(now, steps)
 	for _, r := range c.selectSteps(now, steps) {
 		s, queue := r.step, r.queue
-		if !r.routed {
+		if !r.routed || c.isHeldBack(now, s, s.reservedBefore) {
 			continue
 		}
 		if queue.Advice != nil && !s.tickets.hasAnswer() {
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -122,7 +122,7 @@
 // capacity among those that it would fit when empty.
 func (c *Cell) askInitially(now time.Duration, s *step, queue workload.Queue) {
 	if !s.tickets.awaitsAnswer(now) {
-		c.ask(now, s, queue, c.selectEnough(queue, c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name), askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
+		c.ask(now, s, queue, c.selectEnough(queue, c.unaskedWorkers(now, s, queue), c.eligibleRatios.of(queue.Name), askedCapacityFactor*c.startableCount(now, s), s.expectedSlots))
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -96,16 +96,18 @@
 	}
 }
 
-func (w *worker) remove(r *run) {
+// remove frees the capacity of a run. It reports false if the worker does not have the run.
+func (w *worker) remove(r *run) bool {
 	key := runKey{r.id, r.number}
 	if w.runs[key] == nil {
-		return
+		return false
 	}
 	delete(w.runs, key)
 	w.used = w.used.Minus(r.size)
 	if r.lasts {
 		w.usedByDaemons = w.usedByDaemons.Minus(r.size)
 	}
+	return true
 }
 
 // penalise counts a failure of the worker and pauses it.
--- a/organisation/usage.go
+++ b/organisation/usage.go
@@ -29,25 +29,21 @@
 }
 
 // Add counts work that may be running.
-func (u *Usage) Add(name string, size task.Size) {
+func (u *Usage) Add(name string, size task.Size) { u.set(name, u.used[name].Plus(size)) }
+
+// Remove uncounts work that has ended.
+func (u *Usage) Remove(name string, size task.Size) { u.set(name, u.used[name].Minus(size)) }
+
+func (u *Usage) set(name string, used task.Size) {
 	if name == "" {
 		return
 	}
 	if u.used == nil {
 		u.used = map[string]task.Size{}
 	}
-	u.used[name] = u.used[name].Plus(size)
-}
-
-// Remove uncounts work that has ended.
-func (u *Usage) Remove(name string, size task.Size) {
-	if name == "" {
-		return
-	}
-	if left := u.used[name].Minus(size); left.IsZero() {
+	u.used[name] = used
+	if used.IsZero() {
 		delete(u.used, name)
-	} else {
-		u.used[name] = left
 	}
 }
 
--- a/workload/organisation.go
+++ b/workload/organisation.go
@@ -2,6 +2,9 @@
 
 import "github.com/vanillaquay/vanillaquay/task"
 
+// DefaultWeight is the weight of an organisation that the catalogue doesn't have.
+const DefaultWeight = 1
+
 // Organisation is a customer of the operator, whose callers submit jobs with its keys.
 type Organisation struct {
 	Name string
