--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -156,7 +156,7 @@
 		c.ask(now, s, queue, c.selectEnough(queue, unasked, ratio, widenCapacityFactor*len(s.tasks), asFloat(s.fitCount)))
 		return
 	}
-	c.ask(now, s, queue, c.selectEnough(queue, unasked, ratio, askedCapacityFactor*s.waitingTaskCount(now), s.expectedSlots))
+	c.ask(now, s, queue, c.selectEnough(queue, unasked, ratio, askedCapacityFactor*c.startableCount(now, s), s.expectedSlots))
 }
 
 // selectEnough returns the first workers of a list that probably offer the wanted number of
