cell, advice: jobs beyond the share of their organisation make room for others

An organisation that sends many times its usual filled the advice service and the workers of others: questions about its jobs were as urgent as theirs. Questions about jobs beyond the share now come after those of late jobs, such gangs preempt nothing, and such runs may be preempted whatever their slack. Nothing marks jobs as beyond the share yet.

--- a/advice/dispatcher.go
+++ b/advice/dispatcher.go
@@ -141,17 +141,19 @@
 // urgencyClass returns the class of a question; lower classes go first. Questions for a job
 // with booked capacity come first, as that capacity is idle meanwhile, then those of jobs
 // that can still meet their deadline, then those of jobs whose completion is still worth
-// something.
+// something, and then those of jobs beyond the share of their organisation.
 func urgencyClass(now time.Duration, q cell.Question) int {
 	switch {
 	case q.Booked:
 		return 0
-	case now <= q.Due:
-		return 1
-	case now <= q.Hopeless:
+	case now > q.Hopeless:
+		return 4
+	case q.BeyondShare:
+		return 3
+	case now > q.Due:
 		return 2
 	default:
-		return 3
+		return 1
 	}
 }
 
--- a/advice/dispatcher_test.go
+++ b/advice/dispatcher_test.go
@@ -144,3 +144,18 @@
 	}
 	c.Assert(d.Assign(0, manyHosts()), qt.HasLen, 25)
 }
+
+// An organisation sends many times its usual: questions about its jobs beyond its share must not
+// delay those of other organisations, even if these can't meet their deadlines any more.
+func TestQuestionsBeyondTheShareComeLast(t *testing.T) {
+	c := qt.New(t)
+	var d advice.Dispatcher
+	question := func(job string, due time.Duration, beyond bool) cell.Question {
+		return cell.Question{Step: workload.StepID{Job: job}, Workers: []string{"w"}, Expected: time.Second, Due: due, Hopeless: time.Hour, BeyondShare: beyond}
+	}
+	d.Add(question("beyond", time.Minute, true))
+	d.Add(question("late", time.Second, false))
+	assigned := d.Assign(2*time.Second, []string{"h"})
+	c.Assert(assigned, qt.HasLen, 1)
+	c.Assert(assigned[0].Question.Step.Job, qt.Equals, "late")
+}
--- a/cell/action.go
+++ b/cell/action.go
@@ -64,6 +64,8 @@
 	Due, Hopeless time.Duration
 	// Booked reports whether capacity is held for the step until the answer arrives.
 	Booked bool
+	// BeyondShare reports whether the job of the step is beyond the share of its organisation.
+	BeyondShare bool `cbor:",omitempty"`
 	// Part is the index of the question among those about the same step that were asked at the
 	// same time, each about other workers.
 	Part int `cbor:",omitempty"`
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -33,11 +33,11 @@
 	planned int
 }
 
-// planWithPreemption returns a worker for each task of a gang that is in time, and the runs
-// to preempt so that all of them fit. It returns nil if they do not fit even so, or if the
+// planWithPreemption returns a worker for each task of a gang that is in time and within the
+// share of its organisation, and the runs to preempt so that all of them fit. It returns nil if they do not fit even so, or if the
 // last attempt was too recent. A gang that is to be in one rack waits for capacity there.
 func (c *Cell) planWithPreemption(now time.Duration, s *step, queue workload.Queue, eligible []*worker) ([]*worker, []*run) {
-	if s.SameRack || now > s.latestStart(queue) || now < s.preemptedUntil || s.preemptTriedAt != 0 && now-s.preemptTriedAt < preemptInterval {
+	if s.SameRack || s.job.BeyondShare || now > s.latestStart(queue) || now < s.preemptedUntil || s.preemptTriedAt != 0 && now-s.preemptTriedAt < preemptInterval {
 		return nil, nil
 	}
 	s.preemptTriedAt = now
@@ -122,7 +122,7 @@
 }
 
 // isPreemptible reports whether a run may be preempted: it resumes from a checkpoint, its job
-// stays in time, its task has not been started before, so that no task is preempted twice, and
+// stays in time or is beyond the share of its organisation, its task has not been started before, so that no task is preempted twice, and
 // its room does not come free as soon without that.
 func (c *Cell) isPreemptible(now time.Duration, r *run) bool {
 	s, _ := c.findTask(r.id)
@@ -137,7 +137,7 @@
 		return false
 	}
 	c.updateEstimates(s.job)
-	return now+minPreemptSlack < s.latestStart(queue) && !c.endsSoon(now, s, r)
+	return (s.job.BeyondShare || now+minPreemptSlack < s.latestStart(queue)) && !c.endsSoon(now, s, r)
 }
 
 // preempt stops runs to make room for a gang. They resume elsewhere from their checkpoints.
--- a/cell/tickets.go
+++ b/cell/tickets.go
@@ -282,7 +282,7 @@
 	for i, part := range c.divide(queue, workers) {
 		q := Question{
 			Step: s.id, Valid: queue.Advice.TicketLifetime, Due: s.latestStart(queue), Hopeless: s.expiryTime(queue),
-			Booked: s.bookedPlan != nil, Part: i, Expected: queue.Advice.QuestionDuration(len(part)),
+			Booked: s.bookedPlan != nil, BeyondShare: s.job.BeyondShare, Part: i, Expected: queue.Advice.QuestionDuration(len(part)),
 		}
 		for _, w := range part {
 			q.Workers, q.Lives = append(q.Workers, w.ID), append(q.Lives, w.Life)
