intake: a call for a removed public queue is not refused for its key

The owner couldn't tell that the queue had needed no key, and the caller got 401, where it got its reply before. Calls now say whether their host's version admits the queue without a key; the owner goes by that if its own version lacks the queue.

--- a/intake/call.go
+++ b/intake/call.go
@@ -25,6 +25,8 @@
 	// CatalogueVersion is the version of the catalogue that admitted the call; 0 is a host that
 	// checks no keys, as its program is of an earlier version.
 	CatalogueVersion int64 `cbor:"7,keyasint,omitempty"`
+	// KeyNotNeeded reports whether that version admits calls for the queue without a key.
+	KeyNotNeeded bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Call is a call as it is sent to the owner of the cell.
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -58,7 +58,15 @@
 	}
 	organisation, known := catalogue.OrganisationOf(c.Key)
 	c.Job.Organisation = organisation
-	return known || catalogue.IsPublic(c.Queue)
+	if known {
+		return true
+	}
+	isPublic, exists := catalogue.IsPublic(c.Queue)
+	if !exists {
+		// It was removed, so that this version can't tell whether it needs a key.
+		return c.KeyNotNeeded
+	}
+	return isPublic
 }
 
 // submit accepts a job, and replies once the job has been recorded. A repeated submission
--- a/scheduler/key_test.go
+++ b/scheduler/key_test.go
@@ -33,6 +33,7 @@
 // no keys.
 func TestOwnerChecksKeysOfHostsWithEarlierVersion(t *testing.T) {
 	none := workload.Catalogue{Version: 5}
+	public := func(c intake.Call) intake.Call { c.KeyNotNeeded = true; return c }
 	for _, test := range []struct {
 		name      string
 		catalogue workload.Catalogue
@@ -43,6 +44,8 @@
 		{"withdrawn", keyedCatalogue(5), keyedCall(intake.Submit, "q", "k1", 4), "refused"},
 		{"missing", keyedCatalogue(5), keyedCall(intake.Submit, "q", "", 4), "refused"},
 		{"queue removed", keyedCatalogue(5), keyedCall(intake.Submit, "r", "", 4), "refused"},
+		{"public queue removed", keyedCatalogue(5), public(keyedCall(intake.Submit, "r", "", 4)), ""},
+		{"no longer public", keyedCatalogue(5), public(keyedCall(intake.Submit, "q", "", 4)), "refused"},
 		{"known, of another organisation", keyedCatalogue(5), keyedCall(intake.Submit, "q", "k2", 4), "b"},
 		{"host with the same version", keyedCatalogue(5), keyedCall(intake.Submit, "q", "k1", 5), "a"},
 		{"host with a newer version", keyedCatalogue(5), keyedCall(intake.Submit, "q", "k3", 6), "a"},
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -92,9 +92,13 @@
 	return best, found
 }
 
-// IsPublic reports whether calls for a queue need no key.
-func (c Catalogue) IsPublic(queue string) bool {
-	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Name == queue && q.Public })
+// IsPublic reports whether calls for a queue need no key, and whether there is such a queue.
+func (c Catalogue) IsPublic(queue string) (public, exists bool) {
+	i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Name == queue })
+	if i < 0 {
+		return false, false
+	}
+	return c.Queues[i].Public, true
 }
 
 // QueuesByName returns the queues by name, for look-ups: a catalogue may have thousands of
