--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -126,7 +126,7 @@
 	o.pendingFinal[id] = true
 	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() {
 		delete(o.pendingFinal, id)
-		o.queries.answer(id, o.state(id))
+		o.counters.EndedQueries.Add(int64(o.queries.answer(id, o.state(id))))
 	}})
 }
 
@@ -195,6 +195,7 @@
 func (o *Owner) replyState(now time.Duration, id string, reply func(intake.Reply)) {
 	switch r := o.state(id); {
 	case o.awaitsEnd(id, r) && o.queries.wait(now, id, reply):
+		o.counters.WaitedQueries.Add(1)
 	case r.Outcome != intake.NotFound:
 		reply(r)
 	case o.commitTooSlow(now):
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -10,6 +10,11 @@
 type Counters struct {
 	// WithdrawnKeys counts calls whose key only the earlier version of their host has.
 	WithdrawnKeys atomic.Int64
+	// WaitedQueries counts queries whose reply waited for the end of their job, and EndedQueries
+	// those of them whose job ended meanwhile.
+	WaitedQueries, EndedQueries atomic.Int64
+	// DividedQuestions counts advice questions that were asked in several parts.
+	DividedQuestions atomic.Int64
 	// UnknownCancels counts cancellations of jobs that the owner does not know.
 	UnknownCancels atomic.Int64
 	// RejectedRows counts rows that the store has rejected for good.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -141,6 +141,9 @@
 		}
 	}
 	for _, q := range actions.Questions {
+		if q.Part == 1 {
+			o.counters.DividedQuestions.Add(1)
+		}
 		o.dispatcher.Add(q)
 		o.adviceDue = true
 	}
--- a/scheduler/state_query.go
+++ b/scheduler/state_query.go
@@ -49,14 +49,15 @@
 	return true
 }
 
-// answer answers the queries for a job.
-func (q *stateQueries) answer(job string, r intake.Reply) {
+// answer answers the queries for a job, and returns their number.
+func (q *stateQueries) answer(job string, r intake.Reply) int {
 	replies := q.byJob[job]
 	delete(q.byJob, job)
 	q.count -= len(replies)
 	for _, reply := range replies {
 		reply(r)
 	}
+	return len(replies)
 }
 
 // next returns how long after now the next queries are due, or never.
