soak: callers of organisations with keys

An operator withdraws and adds keys every 1 to 5 s; one call in eight to six has a withdrawn, an unknown or no key. A call without a key that any version held must get 401 (or no reply, 404, 503), and its job must never run; a valid key is never refused, a withdrawn one always is once the version must be in force; added queues are public and need none. Changes of organisations are drawn from their own stream, so that the plans and the jobs of existing seeds stay.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,17 +24,19 @@
 
 // command holds the flags of the command line.
 type command struct {
-	Seed      uint64        `help:"Seed of the faults and of the callers." default:"1"`
-	Length    time.Duration `help:"How long faults are made." default:"30s"`
-	Hosts     int           `help:"How many entry hosts run, each a process." default:"6"`
-	Workers   int           `help:"How many workers there are." default:"8"`
-	Callers   int           `help:"How many callers there are." default:"16"`
-	Takeovers bool          `help:"Make takeovers in short succession only." xor:"faults"`
-	Crashes   bool          `help:"Make workers start again under their IDs and become unreachable only." xor:"faults"`
-	Program   string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
-	Report    string        `help:"File that takes the report." default:"target/soak.json" type:"path"`
-	Directory string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
-	Verbose   bool          `help:"Log each fault."`
+	Seed          uint64        `help:"Seed of the faults and of the callers." default:"1"`
+	Length        time.Duration `help:"How long faults are made." default:"30s"`
+	Hosts         int           `help:"How many entry hosts run, each a process." default:"6"`
+	Workers       int           `help:"How many workers there are." default:"8"`
+	Callers       int           `help:"How many callers there are." default:"16"`
+	Takeovers     bool          `help:"Make takeovers in short succession only." xor:"faults"`
+	Crashes       bool          `help:"Make workers start again under their IDs and become unreachable only." xor:"faults"`
+	Organisations int           `help:"To how many organisations with keys the callers belong; 0 means that calls need no key."`
+	Limits        bool          `help:"Give the organisations limits, which change and are checked."`
+	Program       string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
+	Report        string        `help:"File that takes the report." default:"target/soak.json" type:"path"`
+	Directory     string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
+	Verbose       bool          `help:"Log each fault."`
 }
 
 func main() {
@@ -57,6 +59,7 @@
 	defer stop()
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: c.Seed, Length: c.Length, Hosts: c.Hosts, Workers: c.Workers, Callers: c.Callers, Takeovers: c.Takeovers, Crashes: c.Crashes,
+		Organisations: c.Organisations, Limits: c.Limits,
 		Program: []string{c.Program, "front"}, Directory: directory,
 	})
 	if err != nil {
@@ -69,7 +72,7 @@
 	}
 	fields := logrus.Fields{
 		"seed": c.Seed, "faults": len(report.Disruptions), "jobs": report.Jobs, "accepted": report.Accepted, "rejected": report.Rejected,
-		"cancelled": report.Cancelled, "starts": report.Starts, "calls": report.Calls, "took": report.Took,
+		"cancelled": report.Cancelled, "starts": report.Starts, "unauthorised": report.Unauthorised, "calls": report.Calls, "took": report.Took,
 	}
 	if report.Violation != nil {
 		logrus.WithFields(fields).WithFields(logrus.Fields{"report": c.Report, "directory": directory}).Error("soak: a rule was violated")
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -66,12 +66,14 @@
 	host     int
 	jobs     []Job
 	jobCount int
+	// keys chooses the key of each call.
+	keys keyChoice
 }
 
 func newCaller(number int, seed uint64, hosts []string, h *history) *caller {
 	r := rand.New(rand.NewPCG(seed, uint64(number)+1))
 	return &caller{
-		number: number, hosts: hosts, random: r, history: h, host: r.IntN(len(hosts)),
+		number: number, hosts: hosts, random: r, history: h, host: r.IntN(len(hosts)), keys: fixedKey(""),
 		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
 	}
 }
@@ -120,7 +122,7 @@
 		case http.StatusOK:
 			c.jobs = append(c.jobs, j)
 			return
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 			if c.random.Float64() < abandonRatio {
 				return
 			}
@@ -164,7 +166,7 @@
 		b.FailingRuns = 1
 	}
 	b.RunTime = length.String()
-	j := Job{ID: c.jobID(), Queue: queues[c.random.IntN(len(queues))].Name}
+	j := Job{ID: c.jobID(), Queue: queues[c.random.IntN(len(queues))].Name, Organisation: c.keys.organisation()}
 	steps := 1 + c.random.IntN(3)
 	if length > longTaskThreshold {
 		steps = 1
@@ -186,7 +188,8 @@
 
 // call makes a call to the caller's host and chooses a host anew after a failure.
 func (c *caller) call(method, path string, body []byte) Call {
-	call := makeCall(c.client, c.hosts, c.host, method, path, body, callTimeout)
+	key := c.keys.draw()
+	call := makeCall(c.client, c.hosts, c.host, method, path, key, body, callTimeout)
 	if call.Status == 0 || call.Status >= http.StatusInternalServerError {
 		c.host = c.random.IntN(len(c.hosts))
 	}
@@ -195,8 +198,8 @@
 
 // makeCall makes one call over a persistent connection. It sends the timeout with the call
 // and waits a little longer.
-func makeCall(client *http.Client, hosts []string, host int, method, path string, body []byte, timeout time.Duration) Call {
-	call := Call{Method: method, Host: host, Begun: time.Now()}
+func makeCall(client *http.Client, hosts []string, host int, method, path, key string, body []byte, timeout time.Duration) Call {
+	call := Call{Method: method, Host: host, Key: key, Begun: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+responseSlack)
 	defer cancel()
 	sent := make(chan time.Time, 1)
@@ -210,7 +213,7 @@
 			}
 		}
 	}})
-	status, state, err := exchange(ctx, client, hosts[host], method, path, body, timeout)
+	status, state, err := exchange(ctx, client, hosts[host], method, path, key, body, timeout)
 	call.Ended, call.Status, call.State = time.Now(), status, state
 	if err != nil {
 		call.Error, call.Status = err.Error(), 0
@@ -223,7 +226,7 @@
 	return call
 }
 
-func exchange(ctx context.Context, client *http.Client, host, method, path string, body []byte, timeout time.Duration) (int, string, error) {
+func exchange(ctx context.Context, client *http.Client, host, method, path, key string, body []byte, timeout time.Duration) (int, string, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", errors.Trace(err)
@@ -231,6 +234,9 @@
 	// The transport must not retry calls by itself.
 	request.GetBody = nil
 	request.Host = virtualHost
+	if key != "" && key != noKey {
+		request.Header.Set("X-Api-Key", key)
+	}
 	request.Header.Set("Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	r, err := client.Do(request)
 	if err != nil {
--- a/soak/canceller.go
+++ b/soak/canceller.go
@@ -75,7 +75,7 @@
 // drawCancellation draws a job and how it is cancelled.
 func (c *canceller) drawCancellation() *cancellation {
 	drawn := &cancellation{
-		job: c.drawCancelledJob(), hosts: c.hosts, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), history: c.history, client: c.client,
+		job: c.drawCancelledJob(), hosts: c.hosts, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), history: c.history, client: c.client, key: c.keys.draw(),
 		overtaking: c.random.IntN(3) == 0, submissions: 1, cancels: 1,
 	}
 	if c.random.IntN(3) == 0 {
@@ -114,6 +114,7 @@
 	random  *rand.Rand
 	history *history
 	client  *http.Client
+	key     string
 	// overtaking reports whether the job is cancelled before its submission is answered, and
 	// submitted again after the acknowledgement. Otherwise it is cancelled once accepted.
 	overtaking bool
@@ -187,7 +188,7 @@
 	var copies sync.WaitGroup
 	for _, host := range hosts {
 		copies.Go(func() {
-			call := makeCall(c.client, c.hosts, host, method, path(c.job), body, cancellerTimeout)
+			call := makeCall(c.client, c.hosts, host, method, path(c.job), c.key, body, cancellerTimeout)
 			c.history.addCall(c.job.ID, call)
 			outcomes <- call
 		})
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,10 @@
 	Routes      []Route
 	Disruptions []Disruption
 	Crashes     []Crash
+	// Keys and Limits are those of the organisations, in the order of their changes. Calls need
+	// no key if there are none.
+	Keys   []Key
+	Limits []Limit
 	// Events holds the events of all workers, in order.
 	Events []workerstandin.RunEvent
 }
@@ -45,7 +49,10 @@
 // Check returns the broken rules, the earliest first. A rule that depends on later events
 // may be found broken only by a later check.
 func Check(o Observations) []Violation {
-	c := &checker{Observations: o, jobs: map[string]*jobSummary{}, lifeEnds: map[string]time.Time{}}
+	c := &checker{Observations: o, jobs: map[string]*jobSummary{}, lifeEnds: map[string]time.Time{}, keys: map[string]Key{}, usage: map[string]int64{}}
+	for _, k := range o.Keys {
+		c.keys[k.Value] = k
+	}
 	for i := range o.Jobs {
 		c.jobs[o.Jobs[i].ID] = newJobSummary(&o.Jobs[i])
 	}
@@ -65,7 +72,11 @@
 	jobs map[string]*jobSummary
 	// lifeEnds holds the end of the last life of each worker, up to the event being
 	// replayed.
-	lifeEnds   map[string]time.Time
+	lifeEnds map[string]time.Time
+	keys     map[string]Key
+	// usage is what the tasks of each organisation that run up to the event being replayed use,
+	// in thousandths of a processor.
+	usage      map[string]int64
 	violations []Violation
 }
 
@@ -144,6 +155,8 @@
 				v.cancelled, v.acknowledgement = call.Ended, call
 			}
 		case call.Method != http.MethodPost:
+		case call.Status == http.StatusUnauthorized || isNeverHeld(call.Key):
+			rejections++
 		case call.Status == http.StatusOK:
 			if v.accepted.IsZero() {
 				v.accepted = call.Ended
@@ -185,6 +198,7 @@
 		v := c.jobs[c.Jobs[i].ID]
 		for _, call := range v.Calls {
 			c.checkAnswer(v.ID, call)
+			c.checkKey(v.ID, call)
 			if call.Method == http.MethodGet {
 				c.checkState(v, call, ends)
 			}
@@ -280,6 +294,9 @@
 	mustBe := propagated && (r.Removed.IsZero() || call.Ended.Before(r.Removed))
 	mustNot := !r.Removed.IsZero() && call.Begun.Sub(r.Removed) > maxConfigDelay
 	isWrong := mustBe && call.Status == http.StatusNotFound || mustNot && call.Status == http.StatusOK
+	if call.Status == http.StatusUnauthorized {
+		c.addViolation(call.Ended, "KEY", "host %d asks for a key for the public queue %s", call.Host, r.Queue)
+	}
 	since := r.Added
 	if mustNot {
 		since = r.Removed
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -105,6 +105,21 @@
 	route := func(call soak.Call, removed time.Time) soak.Observations {
 		return soak.Observations{Routes: []soak.Route{{Queue: "extra1", Added: at(10), Removed: removed, Calls: []soak.Call{call}}}}
 	}
+	// keyed has a key of the first version that is withdrawn at 20 s, and one that is added then.
+	keyed := func(o soak.Observations, key string) soak.Observations {
+		o.Keys = []soak.Key{{Value: "k1", Organisation: "a", Withdrawn: at(20)}, {Value: "k2", Organisation: "a", Added: at(20)}}
+		for i := range o.Jobs[0].Calls {
+			o.Jobs[0].Calls[i].Key = key
+		}
+		return o
+	}
+	// limited has a limit of one processor from a time on; the first step uses 0.6.
+	limited := func(from float64, events ...workerstandin.RunEvent) soak.Observations {
+		o := observation(accepted, events...)
+		o.Jobs[0].Organisation, o.Jobs[0].Steps[0].Processors = "a", 600
+		o.Limits = []soak.Limit{{Organisation: "a", Processors: 1000, From: at(from)}}
+		return o
+	}
 	for _, test := range []struct {
 		name     string
 		observed soak.Observations
@@ -166,6 +181,22 @@
 		{"added queue is not there yet", route(get(12, 12.1, 404, ""), time.Time{}), ""},
 		{"removed queue is there", route(get(33, 33.1, 200, ""), at(30)), "CONFIG"},
 		{"removed queue is there still", route(get(32, 32.1, 200, ""), at(30)), ""},
+		{"valid key", keyed(observation([]soak.Call{post(5, 5.1, 200)}), "k1"), ""},
+		{"valid key is refused", fault(keyed(observation([]soak.Call{post(5, 5.1, 401)}), "k1"), soak.Kill, 4, 6), "KEY"},
+		{"added key is refused", keyed(observation([]soak.Call{get(23, 23.1, 401, "")}), "k2"), "KEY"},
+		{"added key is refused at first", keyed(observation([]soak.Call{get(22, 22.1, 401, "")}), "k2"), ""},
+		{"added key is refused beside a fault", fault(keyed(observation([]soak.Call{get(23, 23.1, 401, "")}), "k2"), soak.CutStore, 15, 17), ""},
+		{"withdrawn key is refused", keyed(observation([]soak.Call{post(23, 23.1, 401)}), "k1"), ""},
+		{"withdrawn key is not refused", keyed(observation([]soak.Call{cancel(23, 23.1)}), "k1"), "KEY"},
+		{"withdrawn key is not refused at first", keyed(observation([]soak.Call{cancel(22, 22.1)}), "k1"), ""},
+		{"unknown key is not refused", fault(keyed(observation([]soak.Call{get(5, 5.1, 410, "")}), "unknown-1"), soak.CutStore, 4, 6), "KEY"},
+		{"unknown key without a response, and started", fault(keyed(observation([]soak.Call{post(5, 5.1, 0)}, began(6, "w1", first, 1)), "unknown-1"), soak.Kill, 4, 6), "REFUSED"},
+		{"refused key, and started", keyed(observation([]soak.Call{post(30, 30.1, 401)}, began(31, "w1", first, 1)), "k1"), "REFUSED"},
+		{"keys are not checked", observation([]soak.Call{get(5, 5.1, 410, "")}), ""},
+		{"public queue needs a key", route(get(13, 13.1, 401, ""), time.Time{}), "KEY"},
+		{"beyond the limit", limited(5, began(20, "w1", first, 1), began(21, "w2", ".0.0.1", 1)), "QUOTA"},
+		{"beyond a limit of which the owner may not know", limited(15, began(20, "w1", first, 1), began(21, "w2", ".0.0.1", 1)), ""},
+		{"within the limit", limited(5, began(20, "w1", first, 1), ended(20.5, "w1", first, 1, "stopped"), began(21, "w2", ".0.0.1", 1)), ""},
 		{"crash", soak.Observations{Crashes: []soak.Crash{{At: at(1), Host: "h1"}}}, "Own ends"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/soak/checkruns.go
+++ b/soak/checkruns.go
@@ -43,7 +43,11 @@
 		case workerstandin.RunBegan:
 			c.checkStart(e, t, acknowledged, tasks)
 			t.running[id] = e.At
+			c.checkLimit(e)
 		case workerstandin.RunEnded, workerstandin.RunGone:
+			if _, running := t.running[id]; running {
+				c.subtractUsage(e.Task)
+			}
 			delete(t.running, id)
 			c.checkCancelled(e.Task, e.At)
 			t.addEnd(e, id)
--- a/soak/history.go
+++ b/soak/history.go
@@ -12,6 +12,8 @@
 type Call struct {
 	Method string
 	Host   int
+	// Key is the key of the caller; "" is none.
+	Key string `json:",omitempty"`
 	// Begun is when the call was made, Ended when it was answered or failed.
 	Begun, Ended time.Time
 	// Sent is when the last byte of the request was sent, zero if it never was.
@@ -29,6 +31,8 @@
 type Job struct {
 	ID, Queue, Spec string
 	Steps           []platformstandin.Step
+	// Organisation is the name of the caller's organisation; "" is none.
+	Organisation string `json:",omitempty"`
 	// Calls holds the calls about the job, ordered by their ends.
 	Calls []Call
 	// Closed reports whether the caller has stopped submitting the job.
@@ -45,6 +49,21 @@
 	Calls []Call
 }
 
+// Key is a key that an organisation has, or has had.
+type Key struct {
+	Value, Organisation string
+	// Added is when the key had been written to the store, zero for those of the first version,
+	// and Withdrawn when its withdrawal was about to be written, or zero.
+	Added, Withdrawn time.Time
+}
+
+// Limit is a limit of an organisation from a time on, in thousandths of a processor; 0 is none.
+type Limit struct {
+	Organisation string
+	Processors   int64
+	From         time.Time
+}
+
 // Disruption is a fault that was injected.
 type Disruption struct {
 	Fault Fault
@@ -66,6 +85,8 @@
 	routes      []Route
 	disruptions []Disruption
 	crashes     []Crash
+	keys        []Key
+	limits      []Limit
 }
 
 // addDisruption records the beginning of a fault and returns its index.
@@ -152,6 +173,44 @@
 	return names
 }
 
+func (h *history) addKey(k Key) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.keys = append(h.keys, k)
+}
+
+func (h *history) setKeyWithdrawn(value string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.keys {
+		if h.keys[i].Value == value {
+			h.keys[i].Withdrawn = time.Now()
+		}
+	}
+}
+
+// keysOf returns the keys of an organisation, and those that were withdrawn.
+func (h *history) keysOf(organisation string) (valid, withdrawn []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, k := range h.keys {
+		switch {
+		case k.Organisation != organisation:
+		case k.Withdrawn.IsZero():
+			valid = append(valid, k.Value)
+		default:
+			withdrawn = append(withdrawn, k.Value)
+		}
+	}
+	return valid, withdrawn
+}
+
+func (h *history) addLimit(l Limit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, l)
+}
+
 // addJob records a job before its first call.
 func (h *history) addJob(j Job) {
 	h.mu.Lock()
@@ -181,7 +240,7 @@
 func (h *history) snapshot() Observations {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	o := Observations{At: time.Now(), Disruptions: slices.Clone(h.disruptions), Crashes: slices.Clone(h.crashes)}
+	o := Observations{At: time.Now(), Disruptions: slices.Clone(h.disruptions), Crashes: slices.Clone(h.crashes), Keys: slices.Clone(h.keys), Limits: slices.Clone(h.limits)}
 	for _, id := range h.order {
 		j := *h.jobs[id]
 		j.Calls = slices.Clone(j.Calls)
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -35,6 +35,9 @@
 	// settings.
 	version, settingsChanges int
 	queues                   []platformstandin.Queue
+	organisations            []platformstandin.Organisation
+	// keyCount is the number of keys that there have been.
+	keyCount int
 }
 
 // run injects each fault at its time, and returns when all have ended.
@@ -107,6 +110,10 @@
 		h.signal(syscall.SIGHUP)
 	case ChangeCatalogue:
 		i.changeCatalogue()
+	case ChangeKeys:
+		i.changeKeys(f.Organisation)
+	case ChangeLimit:
+		i.changeLimit(f.Organisation, f.Limit)
 	case Kill:
 		h.kill()
 		return func() { i.startHost(h) }
@@ -288,14 +295,15 @@
 		i.history.setRouteRemoved(last.Name)
 		return
 	}
-	added := platformstandin.Queue{Name: fmt.Sprintf("extra%d", i.version), Attempts: maxFailedRuns}
+	// The calls for added queues have no key.
+	added := platformstandin.Queue{Name: fmt.Sprintf("extra%d", i.version), Attempts: maxFailedRuns, Public: len(i.organisations) > 0}
 	i.queues = append(i.queues, added)
 	i.putCatalogue()
 	i.history.addRoute(added.Name)
 }
 
 func (i *injector) putCatalogue() {
-	content, err := platformstandin.CatalogueDocument(i.version, virtualHost, i.queues)
+	content, err := platformstandin.CatalogueDocument(i.version, virtualHost, i.queues, i.organisations...)
 	if err != nil {
 		logrus.WithError(err).Error("soak: catalogue not written")
 		return
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/vanillaquay/vanillaquay/task"
 )
 
 // Kind is a kind of fault.
@@ -19,6 +21,10 @@
 	// DrainWorker makes a worker announce that it is draining; after the length of the fault
 	// the worker ends and starts a new life.
 	DrainWorker Kind = "DrainWorker"
+	// ChangeKeys withdraws a key of an organisation and adds another; ChangeLimit changes its
+	// limit.
+	ChangeKeys  Kind = "ChangeKeys"
+	ChangeLimit Kind = "ChangeLimit"
 
 	Kill        Kind = "Kill"
 	KillAll     Kind = "KillAll"
@@ -48,8 +54,10 @@
 )
 
 var (
-	planned   = []Kind{Terminate, Hangup, ChangeCatalogue, DrainWorker}
-	unplanned = []Kind{
+	// organisational are planned faults that are drawn apart from the others.
+	organisational = []Kind{ChangeKeys, ChangeLimit}
+	planned        = []Kind{Terminate, Hangup, ChangeCatalogue, DrainWorker}
+	unplanned      = []Kind{
 		Kill, Kill, KillAll, Pause, Pause, StoreDown, StoreSlow, LoseAnswers, LoseAnswers, DropHistory, CutStore, HoldStore, SilenceStore,
 		CutWorker, HoldWorker, SilenceWorker, DelayWorkers, CutHosts, HoldHosts, SilenceHosts, ResetLinks, RestartWorker, MuteWorker,
 	}
@@ -60,7 +68,9 @@
 )
 
 // Planned reports whether a fault is work of an operator.
-func (k Kind) Planned() bool { return slices.Contains(planned, k) }
+func (k Kind) Planned() bool {
+	return slices.Contains(planned, k) || slices.Contains(organisational, k)
+}
 
 // Fault is a fault of a plan.
 type Fault struct {
@@ -81,6 +91,10 @@
 	There, Back bool
 	// Answers is the number of responses of the store that are lost.
 	Answers int
+	// Organisation is the number of the organisation whose keys or limit change, and Limit its
+	// new limit in thousandths of a processor.
+	Organisation int
+	Limit        int64
 }
 
 const (
@@ -106,6 +120,16 @@
 	// takeoverStream is the stream of random numbers for takeovers; the other faults of a
 	// seed don't depend on it.
 	takeoverStream = 1 << 32
+	// organisationStream is that for changes of organisations.
+	organisationStream = 2 << 32
+	// Bounds of the time between two changes of organisations, and of their limits, in
+	// processors. Callers keep about half of 64 processors busy, so that each of 3 organisations
+	// wants more than its limit; a step takes 5 at most.
+	minOrganisationInterval, maxOrganisationInterval = time.Second, 5 * time.Second
+	minLimit, maxLimit                               = 6, 10
+	// limitedRatio is the part of the run after which there are no limits, so that the jobs that
+	// wait for them end in time.
+	limitedRatio = 0.7
 	// takeoverRatio is the share of bursts with a series of takeovers.
 	takeoverRatio = 0.6
 	// Bounds of the time between two takeovers of a series, and of the length of their faults,
@@ -189,6 +213,28 @@
 	return plan
 }
 
+// NewOrganisationPlan draws the changes of organisations in a run, in order: of their keys and, if
+// they have limits, of those.
+func NewOrganisationPlan(seed uint64, length time.Duration, organisations int, limits bool) []Fault {
+	r := rand.New(rand.NewPCG(seed, organisationStream))
+	var plan []Fault
+	unlimited := time.Duration(limitedRatio * float64(length))
+	for at := minOrganisationInterval; at < length; at += between(r, minOrganisationInterval, maxOrganisationInterval) {
+		f := Fault{Kind: ChangeKeys, At: at, Organisation: r.IntN(organisations), There: true}
+		if limits && at < unlimited && r.IntN(2) == 0 {
+			f.Kind, f.Limit = ChangeLimit, (minLimit+r.Int64N(maxLimit-minLimit))*task.Processor
+		}
+		plan = append(plan, f)
+	}
+	for o := range organisations {
+		if limits {
+			plan = append(plan, Fault{Kind: ChangeLimit, At: unlimited, Organisation: o, There: true})
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
 func isPlanned(kinds []Kind) bool {
 	return !slices.ContainsFunc(kinds, func(k Kind) bool { return !k.Planned() })
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -101,6 +101,31 @@
 	})
 }
 
+// Guards against changes of organisations that differ for the same seed, of organisations that
+// don't exist, and against limits at the end, behind which jobs would wait.
+func TestOrganisationPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		length := time.Duration(rapid.IntRange(2, 300).Draw(t, "seconds")) * time.Second
+		plan := soak.NewOrganisationPlan(seed, length, 3, true)
+		if again := soak.NewOrganisationPlan(seed, length, 3, true); !slices.Equal(again, plan) {
+			t.Fatalf("the same seed gave two plans: %v and %v", plan, again)
+		}
+		limits := map[int]int64{}
+		for _, f := range plan {
+			if f.Organisation >= 3 || f.At >= length || !f.Kind.Planned() {
+				t.Fatalf("invalid change: %+v", f)
+			}
+			if f.Kind == soak.ChangeLimit {
+				limits[f.Organisation] = f.Limit
+			}
+		}
+		if limits[0]+limits[1]+limits[2] > 0 {
+			t.Fatalf("limits remain: %v", limits)
+		}
+	})
+}
+
 // Guards against plans in which no worker that has started again is soon unreachable, faults of
 // workers that don't exist, and faults beyond the end of the run.
 func TestCrashPlan(t *testing.T) {
--- a/soak/report.go
+++ b/soak/report.go
@@ -29,6 +29,8 @@
 	// that outcome. A job counts as rejected if each submission of it was rejected.
 	Jobs, Accepted, Rejected, Cancelled int
 	Calls, Starts                       int
+	// Unauthorised counts the calls that were refused for their keys.
+	Unauthorised int
 	// StoreConnections, WorkerConnections and HostConnections count the connections over the
 	// links from hosts to the store, workers and hosts.
 	StoreConnections, WorkerConnections, HostConnections int
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -38,6 +39,10 @@
 	// Crashes reports whether the only faults are workers that start again under their IDs and
 	// soon cannot be reached.
 	Crashes bool
+	// Organisations is the number of organisations to which the callers belong; 0 means that
+	// calls need no key. Limits reports whether the organisations have limits.
+	Organisations int
+	Limits        bool
 	// Program is the path and the arguments that start a host.
 	Program []string
 	// Directory holds the settings and logs of the hosts.
@@ -46,6 +51,16 @@
 
 // plan draws the faults of the run.
 func (o Options) plan() []Fault {
+	plan := o.planFaults()
+	if o.Organisations > 0 {
+		plan = append(plan, NewOrganisationPlan(o.Seed, o.Length, o.Organisations, o.Limits)...)
+		slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	}
+	return plan
+}
+
+// planFaults draws the faults that do not concern organisations.
+func (o Options) planFaults() []Fault {
 	switch {
 	case o.Takeovers:
 		return NewTakeoverPlan(o.Seed, o.Length, o.Hosts)
@@ -66,6 +81,7 @@
 	}
 	defer c.close()
 	s := &run{options: o, cell: c, history: h, injector: &injector{cell: c, history: h, version: 1, queues: queues}}
+	s.injector.addOrganisations(o.Organisations)
 	if err := s.startHosts(ctx); err != nil {
 		return Report{}, err
 	}
@@ -98,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for i := range s.cell.hosts {
-		for makeCall(http.DefaultClient, s.callerAddresses(), i, http.MethodGet, "/"+queues[0].Name+"/", nil, callTimeout).Status != http.StatusOK {
+		for makeCall(http.DefaultClient, s.callerAddresses(), i, http.MethodGet, "/"+queues[0].Name+"/", s.operatorKey(), nil, callTimeout).Status != http.StatusOK {
 			if ctx.Err() != nil {
 				return errors.Errorf("host %d was not ready within %s", i, startTimeout)
 			}
@@ -125,10 +141,12 @@
 	var callers sync.WaitGroup
 	for i := range s.options.Callers {
 		c := newCaller(i, s.options.Seed, s.callerAddresses(), s.history)
+		c.keys = s.newKeyChoice(i)
 		callers.Go(func() { c.run(ctx) })
 	}
 	for i := range max(1, s.options.Callers/callersPerCanceller) {
 		c := newCanceller(s.options.Callers+i, s.options.Seed, s.callerAddresses(), s.history)
+		c.keys = fixedKey(s.operatorKey())
 		callers.Go(func() { c.run(ctx) })
 	}
 	callers.Go(func() { s.probeAddedQueues(ctx) })
@@ -172,7 +190,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		for _, queue := range s.history.addedQueues() {
-			s.history.addRouteCall(queue, makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, "/"+queue+"/", nil, callTimeout))
+			s.history.addRouteCall(queue, makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, "/"+queue+"/", "", nil, callTimeout))
 		}
 		select {
 		case <-ctx.Done():
@@ -209,7 +227,7 @@
 		if v.accepted.IsZero() && v.cancelled.IsZero() || v.hasEnded() {
 			continue
 		}
-		call := makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, path(j), nil, callTimeout)
+		call := makeCall(client, s.callerAddresses(), n%s.options.Hosts, http.MethodGet, path(j), s.operatorKey(), nil, callTimeout)
 		s.history.addCall(j.ID, call)
 		if !v.isEnd(call) {
 			unfinished = append(unfinished, j.ID)
@@ -263,6 +281,11 @@
 	for i := range o.Jobs {
 		v := newJobSummary(&o.Jobs[i])
 		r.Calls += len(v.Calls)
+		for _, call := range v.Calls {
+			if call.Status == http.StatusUnauthorized {
+				r.Unauthorised++
+			}
+		}
 		r.countJob(v)
 	}
 	for _, e := range s.cell.monitor.EventsAfter(0) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,8 @@
 	length    time.Duration
 	takeovers bool
 	crashes   bool
+	// organisations is the number of organisations of the callers.
+	organisations int
 }{
 	{seed: 3, length: 20 * time.Second},
 	// A host that was paused and replaced as the owner acknowledged cancellations of jobs that
@@ -27,6 +29,8 @@
 	// Workers that had started again under their IDs took leases by the clock of their earlier
 	// lives, and ran tasks on that the owner had started elsewhere.
 	{seed: 14, length: 20 * time.Second, crashes: true},
+	// Keys are withdrawn and added among faults of most kinds.
+	{seed: 4, length: 20 * time.Second, organisations: 3},
 }
 
 // Six hosts in separate processes keep the rules while faults overlap. Long runs are made
@@ -35,13 +39,14 @@
 	for _, run := range runs {
 		seed := run.seed
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Length: run.length, Takeovers: run.takeovers, Crashes: run.crashes, Hosts: 6, Workers: 8, Callers: 16,
+			Seed: seed, Length: run.length, Takeovers: run.takeovers, Crashes: run.crashes, Hosts: 6, Workers: 8, Callers: 16, Organisations: run.organisations,
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
 		t.Logf("seed %d: %d faults, %d jobs, %d starts, %s", seed, len(report.Disruptions), report.Jobs, report.Starts, report.Took)
 		if report.Violation == nil {
 			qt.Check(t, report.Accepted > 0 && report.Starts > 0, qt.IsTrue)
+			qt.Check(t, report.Unauthorised > 0, qt.Equals, run.organisations > 0)
 			// Without connections over the links, the faults of links would have no effect.
 			qt.Check(t, report.StoreConnections > 0 && report.WorkerConnections > 0 && report.HostConnections > 0, qt.IsTrue)
 			continue
