--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +49,8 @@
 	hosts   []*hostProcess
 	// addresses holds the addresses of the runners.
 	addresses []string
+	// reused reports whether the last call used a connection of an earlier one.
+	reused atomic.Bool
 }
 
 // hostProcess is the process of an entry host.
@@ -260,7 +265,8 @@
 
 // callWithKey is like call, with the key of an organisation unless it is "".
 func (d *deployment) callWithKey(h *hostProcess, key, method, path, body string) (int, string) {
-	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", h.ip, callerPort, path), strings.NewReader(body))
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { d.reused.Store(i.Reused) }})
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", h.ip, callerPort, path), strings.NewReader(body))
 	qt.Assert(d.t, err, qt.IsNil)
 	request.Host = "a.example"
 	request.Header.Set("Timeout-Ms", "3000")
--- a/front/key_test.go
+++ b/front/key_test.go
@@ -1,9 +1,11 @@
 package front_test
 
 import (
-	"io"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -33,6 +35,7 @@
 	d.t.Helper()
 	status, _ := d.callWithKey(h, key, http.MethodPost, path("plain", n), jobBody(1))
 	qt.Check(d.t, status, qt.Equals, submitted, qt.Commentf("%s with %q", h.name, key))
+	qt.Check(d.t, d.reused.Load(), qt.IsTrue, qt.Commentf("the connection is not an open one"))
 	for _, call := range [][2]string{{http.MethodGet, path("plain", 1)}, {http.MethodGet, "/plain/"}, {http.MethodDelete, path("plain", 999)}} {
 		status, _ := d.callWithKey(h, key, call[0], call[1], "")
 		qt.Check(d.t, status == http.StatusUnauthorized, qt.Equals, submitted == http.StatusUnauthorized, qt.Commentf("%v at %s with %q: %d", call, h.name, key, status))
@@ -79,30 +82,23 @@
 	qt.Check(t, d.monitor.Starts(), qt.Equals, 4, qt.Commentf("refused jobs ran"))
 }
 
-// feedFilter passes the calls of one host on to the store. While it is set it loses the answers
+// feedFilter passes the calls of one host on to the store. While it is lossy it loses the answers
 // to feed calls for the operator's table, and leaves their connections open.
 type feedFilter struct {
-	store string
+	httputil.ReverseProxy
 	lossy atomic.Bool
 }
 
-func (f *feedFilter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+f.store+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	response, err := http.DefaultClient.Do(out)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer response.Body.Close()
-	if f.lossy.Load() && strings.Contains(r.URL.String(), "rows-feed?") && r.URL.Query().Get("table") == "op" {
-		<-r.Context().Done()
-		return
+func newFeedFilter(store string) *feedFilter {
+	f := &feedFilter{}
+	f.Rewrite = func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: store}) }
+	f.ModifyResponse = func(r *http.Response) error {
+		if f.lossy.Load() && strings.Contains(r.Request.URL.Path, "feed") && r.Request.URL.Query().Get("table") == "op" {
+			<-r.Request.Context().Done()
+		}
+		return nil
 	}
-	w.WriteHeader(response.StatusCode)
-	// An error here means that the host has disconnected.
-	_, _ = io.Copy(w, response.Body)
+	return f
 }
 
 // The store loses the answer to one host's feed call, which would wait for 16 s. The host must
@@ -112,7 +108,7 @@
 	c := qt.New(t)
 	var filters []*feedFilter
 	d := deployWith(t, make([]float64, 2), 2, 100*time.Millisecond, func(store string) string {
-		f := &feedFilter{store: store}
+		f := newFeedFilter(store)
 		server := httptest.NewServer(f)
 		t.Cleanup(server.CloseClientConnections)
 		filters = append(filters, f)
@@ -124,20 +120,18 @@
 	}
 	owner := d.owner()
 	other := d.other(owner)
-	loseFeed := func(h *hostProcess, version int, key string) time.Time {
-		filters[slices.Index(d.hosts, h)].lossy.Store(true)
+	for i, behind := range []*hostProcess{owner, other} {
+		filter, version, key := filters[slices.Index(d.hosts, behind)], 3+i, fmt.Sprintf("k%d", 3+i)
+		filter.lossy.Store(true)
 		d.putKeys(version, key)
-		return time.Now()
+		written := time.Now()
+		if behind == owner {
+			d.awaitVersion(other, version)
+			d.checkKey(other, key, 3, http.StatusOK)
+			c.Check(slices.Contains(owner.versions(), version), qt.IsFalse)
+		}
+		d.awaitVersion(behind, version)
+		c.Check(time.Since(written) < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(written)))
+		filter.lossy.Store(false)
 	}
-	written := loseFeed(owner, 3, "k3")
-	d.awaitVersion(other, 3)
-	d.checkKey(other, "k3", 3, http.StatusOK)
-	c.Check(slices.Contains(owner.versions(), 3), qt.IsFalse)
-	d.awaitVersion(owner, 3)
-	c.Check(time.Since(written) < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(written)))
-
-	filters[slices.Index(d.hosts, owner)].lossy.Store(false)
-	written = loseFeed(other, 4, "k4")
-	d.awaitVersion(other, 4)
-	c.Check(time.Since(written) < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(written)))
 }
--- a/intake/call_test.go
+++ b/intake/call_test.go
@@ -45,23 +45,21 @@
 	}
 }
 
-// earlierCall is a call as programs without keys have it.
-type earlierCall struct {
-	Number uint64       `cbor:"1,keyasint"`
-	Verb   intake.Verb  `cbor:"2,keyasint"`
-	Queue  string       `cbor:"3,keyasint,omitempty"`
-	ID     string       `cbor:"4,keyasint,omitempty"`
-	Job    workload.Job `cbor:"5,keyasint,omitempty"`
-}
-
-// While hosts are upgraded, owners and hosts of both versions must read each other's calls.
+// While hosts are upgraded, owners and hosts of both versions must read each other's calls. Those
+// without keys have the fields 1 to 5.
 func TestCallsOfEarlierVersion(t *testing.T) {
 	c := qt.New(t)
 	call := submission(workload.Step{TaskCount: 1})
-	call.Credential = intake.Credential{Key: "k", CatalogueVersion: 7}
+	call.Credential = intake.Credential{Key: "k", CatalogueVersion: 7, KeyNotNeeded: true}
 	data, err := codec.Marshal(call)
 	c.Assert(err, qt.IsNil)
-	var earlier earlierCall
+	var earlier struct {
+		Number uint64    `cbor:"1,keyasint"`
+		Verb   string    `cbor:"2,keyasint"`
+		Queue  string    `cbor:"3,keyasint"`
+		ID     string    `cbor:"4,keyasint"`
+		Job    codec.Raw `cbor:"5,keyasint"`
+	}
 	c.Assert(codec.Unmarshal(data, &earlier), qt.IsNil)
 	data, err = codec.Marshal(earlier)
 	c.Assert(err, qt.IsNil)
--- a/platformstandin/document.go
+++ b/platformstandin/document.go
@@ -25,6 +25,9 @@
 	MaxProcessors int64
 }
 
+// KeyHeader carries the key of the caller's organisation in a call.
+const KeyHeader = "X-Api-Key"
+
 // ServiceName is the service of all queues and workers in these documents.
 const ServiceName = "s"
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -235,7 +235,7 @@
 	request.GetBody = nil
 	request.Host = virtualHost
 	if key != "" && key != noKey {
-		request.Header.Set("X-Api-Key", key)
+		request.Header.Set(platformstandin.KeyHeader, key)
 	}
 	request.Header.Set("Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	r, err := client.Do(request)
