--- a/cell/cell.go
+++ b/cell/cell.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaquay/vanillaquay/forecast"
 	"github.com/vanillaquay/vanillaquay/organisation"
 	"github.com/vanillaquay/vanillaquay/workload"
 )
@@ -54,12 +55,21 @@
 	// wallClock is the time of the last Tick in milliseconds since 1970.
 	wallClock int64
 	// recordDelay is the time needed to record a start.
-	recordDelay    time.Duration
-	speeds         speeds
-	eligibleRatios eligibleRatios
+	recordDelay time.Duration
+	// idleAdviceHosts is the number of hosts that could ask a long question now.
+	idleAdviceHosts int
+	speeds          speeds
+	eligibleRatios  eligibleRatios
+	// meanSpeedOffset is the mean speedOffset of the workers.
+	meanSpeedOffset float64
+	speedRange      speedRange
+	// calibrations compares predictions with run times, by queue, since the last TakeForecasts.
+	calibrations map[string]forecast.Calibration
+	// spreads holds the spreads of queues by the models in use.
+	spreads map[string]spread
 	// durations predicts the durations of tasks, by queue. durationVersion is the version in
 	// use; durationsChanged reports whether the models have changed since.
-	durations        map[string]DurationModel
+	durations        map[string]forecast.Model
 	durationVersion  int
 	durationsChanged bool
 	// usage is what may be running for each organisation. heldBack is the number of steps that the
@@ -70,7 +80,7 @@
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]DurationModel{}, heldBack: map[string]int{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, calibrations: map[string]forecast.Calibration{}, heldBack: map[string]int{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
@@ -87,6 +97,9 @@
 // SetRecordDelay sets the time needed to record a start.
 func (c *Cell) SetRecordDelay(d time.Duration) { c.recordDelay = d }
 
+// SetIdleAdviceHosts sets the number of hosts that could ask a long question now.
+func (c *Cell) SetIdleAdviceHosts(n int) { c.idleAdviceHosts = n }
+
 // TakeOutput returns the actions, record changes and log entries since the last call. Starts
 // must not be sent before the changes are recorded.
 func (c *Cell) TakeOutput() (Actions, []Change, []LogEntry) {
--- a/cell/report.go
+++ b/cell/report.go
@@ -11,6 +11,10 @@
 // every run fails is detected before the task has used up its attempts.
 const failureBackoff = 100 * time.Millisecond
 
+// minAttemptsForRetry is the least number of attempts with which the first failure of a task is
+// followed by another run at once. Two attempts are left to detect a worker that fails every run.
+const minAttemptsForRetry = 3
+
 // stopMargin is added to the time that a run takes to stop, to allow for slow clocks.
 const stopMargin = 50 * time.Millisecond
 
@@ -107,23 +111,28 @@
 }
 
 // learnRun updates the usual speeds and the predicted durations after the first run of a task
-// that ended as done. A gang works from when its last member has begun, and is counted once.
+// that ended as done. A gang works from when its last member has begun, at the speed of its
+// slowest worker, and is counted once.
 func (c *Cell) learnRun(now time.Duration, s *step, w *worker, r *run) {
 	if !s.Gang {
+		// The speed before this run applies: the run's own deviation must not count twice.
+		c.learnDuration(s, c.atUsualSpeed(now-r.begunAt, w))
 		c.speeds.learn(s.job.Queue, w, s.Estimate, now-r.begunAt)
-		c.learnDuration(s, now-r.begunAt)
 		return
 	}
 	if s.remaining < len(s.tasks) {
 		return
 	}
-	begun := r.begunAt
+	begun, slowest := r.begunAt, w
 	for _, t := range s.tasks {
 		for _, other := range t.runs {
 			begun = max(begun, other.begunAt)
+			if on := c.workers[other.worker.ID]; on.speedOffset < slowest.speedOffset {
+				slowest = on
+			}
 		}
 	}
-	c.learnDuration(s, now-begun)
+	c.learnDuration(s, c.atUsualSpeed(now-begun, slowest))
 }
 
 // markDone marks a task, or all tasks of a gang, as done. A daemon is never done.
@@ -153,7 +162,10 @@
 	if t.done {
 		return
 	}
-	t.notBefore = now + failureBackoff
+	queue, known := c.queues[s.job.Queue]
+	if s.Gang || t.failures > 0 || queue.MaxAttempts < minAttemptsForRetry {
+		t.notBefore = now + failureBackoff
+	}
 	if s.Gang && s.lastFailedRun == e.Run {
 		// All members of a gang fail together, so the failure of one run counts once.
 		return
@@ -167,7 +179,6 @@
 		}
 	}
 	c.markChanged(s.job)
-	queue, known := c.queues[s.job.Queue]
 	if s.Daemon || !known || t.failures < queue.MaxAttempts {
 		return
 	}
--- a/front/host.go
+++ b/front/host.go
@@ -33,10 +33,6 @@
 	maxStartLease = 2500 * time.Millisecond
 	// maxClockSkew bounds the relative error by which the clocks of workers may run slow.
 	maxClockSkew = 0.03
-	// cataloguePauseShare is the longest pause between two reads of a large catalogue, as a
-	// share of the time within which a version must be in force. The rest is for the read: at
-	// 10 Mbit/s one of 1,450 queues takes 0.3 s, and one that fails is repeated after 1.8 s.
-	cataloguePauseShare = 0.375
 	// maxQueuedQuestions bounds the questions queued at one host.
 	maxQueuedQuestions = 64
 )
@@ -58,6 +54,7 @@
 	hub         *peer.Hub
 	members     members
 	forwarder   *intake.Forwarder
+	ingress     *platform.Ingress
 	questions   *ring.Ring[queuedQuestion]
 	adviceCache adviceCache
 	counters    scheduler.Counters
@@ -81,6 +78,8 @@
 	// nearStore reports whether a call was fast enough for the store to be in this region.
 	nearStore bool
 	owner     *scheduler.Owner
+	// newestCatalogue is the newest version of which another host has told.
+	newestCatalogue int64
 	// waves holds the operator's waves by number.
 	waves map[int64]upkeep.Wave
 }
@@ -108,6 +107,7 @@
 	h.relay = carrier.NewRelay(h.workerClient, h, log)
 	h.carrier = carrier.NewCarrier(h.workerClient, h.fence, h.sendWorkerAnswers)
 	h.forwarder = intake.NewForwarder(h, log)
+	h.ingress = &platform.Ingress{Intake: h.forwarder}
 	return h
 }
 
@@ -131,7 +131,7 @@
 		return err
 	}
 	h.subscribe(ctx)
-	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically} {
+	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically, h.logRefusedKeys} {
 		h.background.Add(1)
 		go func() {
 			defer h.background.Done()
@@ -197,33 +197,3 @@
 	}
 	return true
 }
-
-// watchCatalogue follows the operator's table: the catalogue of queues, and waves. A version
-// that is listed again is not decoded again.
-func (h *Host) watchCatalogue(ctx context.Context) {
-	var decoded ledger.Version
-	onChange := func(r ledger.Row) {
-		if h.handleWaveRow(r) || r.Key != platform.CatalogueKey || r.Deleted || r.Version == decoded {
-			return
-		}
-		decoded = r.Version
-		c, err := platform.DecodeCatalogue(r)
-		if err != nil {
-			h.log.WithField("why", err.Error()).Warn("front: invalid operator configuration ignored")
-			return
-		}
-		if !h.forwarder.SetCatalogue(c) {
-			return
-		}
-		h.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues)}).Info("front: configuration in force")
-		if o := h.localOwner(); o != nil {
-			o.SetCatalogue(c)
-		}
-	}
-	ledger.Watch{
-		Store: h.store, Table: platform.OperatorTable,
-		OnChange: onChange, ListAfterGap: true, Reissue: h.catalogueRefresh.Values(),
-		LargeRowPause: time.Duration(cataloguePauseShare * float64(h.settings().CatalogueTime)),
-		OnError:       func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
-	}.Run(ctx)
-}
--- a/front/serve.go
+++ b/front/serve.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
@@ -37,7 +38,7 @@
 
 // startServers starts all servers, and returns those for callers and for the balancer.
 func (h *Host) startServers() ([]*server.Server, error) {
-	callers, err := h.startServer(h.settings().CallerAddress, &platform.Ingress{Intake: h.forwarder})
+	callers, err := h.startServer(h.settings().CallerAddress, h.ingress)
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +106,13 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "vanillaquay_%s %v\n", name, value) }
 	line("jobs_accepted_total", h.counters.Accepted.Load())
 	line("jobs_refused_total", h.counters.Refused.Load())
+	line("missing_keys_total", h.ingress.MissingKeys.Load())
+	line("unknown_keys_total", h.ingress.UnknownKeys.Load())
+	line("withdrawn_keys_total", h.counters.WithdrawnKeys.Load())
+	line("configuration_version", h.forwarder.CatalogueVersion())
+	line("queries_waited_total", h.counters.WaitedQueries.Load())
+	line("queries_ended_total", h.counters.EndedQueries.Load())
+	line("questions_divided_total", h.counters.DividedQuestions.Load())
 	line("unknown_cancels_total", h.counters.UnknownCancels.Load())
 	line("starts_total", h.counters.Starts.Load())
 	line("stops_total", h.counters.Stops.Load())
@@ -127,12 +135,16 @@
 // serveDump writes the state of the process.
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
 	h.mu.Lock()
-	lease, own := h.lease, h.owner != nil
+	lease, owner := h.lease, h.owner
 	h.mu.Unlock()
+	var forecasts []cell.Forecast
+	if owner != nil {
+		forecasts = owner.Forecasts()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
-		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": own,
-		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(),
+		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": owner != nil, "Forecasts": forecasts,
+		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.forwarder.CatalogueVersion(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
 	}
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -23,6 +23,8 @@
 	candidateInterval = 100 * time.Millisecond
 	// takeoverTimeout bounds the acquisition of the cell.
 	takeoverTimeout = 3 * time.Second
+	// stallCheckInterval is the interval at which an owner checks whether an announcement is due.
+	stallCheckInterval = 50 * time.Millisecond
 	// announceIntervalPerMember is the part of the announcement interval per member, so
 	// that the owner of a large cell sends at most a hundred announcements a second.
 	announceIntervalPerMember = 10 * time.Millisecond
@@ -61,6 +63,8 @@
 	Interval time.Duration `cbor:"3,keyasint"`
 	// Stalled reports that the store records nothing for the owner.
 	Stalled bool `cbor:"4,keyasint,omitempty"`
+	// CatalogueVersion is the version of the catalogue that the sender has in force.
+	CatalogueVersion int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // watchLease follows the lease of the cell.
@@ -324,10 +328,19 @@
 	return h.owner
 }
 
-// announcePeriodically announces the owner to the members while it runs on this host.
+// announcePeriodically announces the owner to the members while it runs on this host, and at
+// once when the store stops serving it: the next owner can take the cell only then.
 func (h *Host) announcePeriodically(ctx context.Context) {
-	for timer.Sleep(ctx, h.announceInterval()) {
-		if h.localOwner() != nil {
+	announcedAt, stalled := time.Duration(0), false
+	for timer.Sleep(ctx, stallCheckInterval) {
+		o := h.localOwner()
+		if o == nil {
+			continue
+		}
+		now, wasStalled := clock.Now(), stalled
+		stalled = o.StoreStalled()
+		if stalled && !wasStalled || now-announcedAt >= h.announceInterval() {
+			announcedAt = now
 			h.announceOwner()
 		}
 	}
@@ -339,7 +352,7 @@
 
 func (h *Host) announceOwner() {
 	h.mu.Lock()
-	t := OwnerAnnouncement{Owner: h.lease.Owner, Fence: h.lease.Fence, Interval: h.announceInterval()}
+	t := OwnerAnnouncement{Owner: h.lease.Owner, Fence: h.lease.Fence, Interval: h.announceInterval(), CatalogueVersion: h.forwarder.CatalogueVersion()}
 	if h.owner != nil {
 		t.Stalled = h.owner.StoreStalled()
 	}
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -30,6 +30,11 @@
 		r.Fence = o.Fence()
 		o.members.Reply(from, intake.Answer{Number: c.Number, Reply: r})
 	}
+	if !o.authorise(&c) {
+		o.counters.WithdrawnKeys.Add(1)
+		reply(intake.Reply{Outcome: intake.Unauthorised, Why: "the key is not in the owner's newer configuration"})
+		return
+	}
 	switch c.Verb {
 	case intake.Submit:
 		o.submit(now, waited, c, reply)
@@ -42,6 +47,28 @@
 	}
 }
 
+// authorise reports whether the key of a call is accepted. A host that can't reach the store may
+// have admitted one that was withdrawn since, so it is checked again if this owner has a newer
+// version than the host; the job then belongs to the organisation that has the key now. Otherwise
+// the host is right: its version may have keys that this owner's lacks.
+func (o *Owner) authorise(c *intake.Call) bool {
+	catalogue := o.catalogue.Load()
+	if catalogue == nil || !catalogue.ChecksKeys || c.CatalogueVersion == 0 || c.CatalogueVersion >= catalogue.Version {
+		return true
+	}
+	organisation, known := catalogue.OrganisationOf(c.Key)
+	c.Job.Organisation = organisation
+	if known {
+		return true
+	}
+	isPublic, exists := catalogue.IsPublic(c.Queue)
+	if !exists {
+		// It was removed, so that this version can't tell whether it needs a key.
+		return c.KeyNotNeeded
+	}
+	return isPublic
+}
+
 // submit accepts a job, and replies once the job has been recorded. A repeated submission
 // of a recorded job is accepted at once, even while the store is unavailable.
 func (o *Owner) submit(now, waited time.Duration, c intake.Call, reply func(intake.Reply)) {
@@ -97,7 +124,10 @@
 // transaction.
 func (o *Owner) markPendingFinal(id string) {
 	o.pendingFinal[id] = true
-	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() { delete(o.pendingFinal, id) }})
+	o.pendingEffects = append(o.pendingEffects, effect{needs: []jobRecord{{ledger.FinishedTable, id}}, run: func() {
+		delete(o.pendingFinal, id)
+		o.counters.EndedQueries.Add(int64(o.queries.answer(id, o.state(id))))
+	}})
 }
 
 // acceptance returns an effect that replies to a call with Accepted, if the records that make it
@@ -164,6 +194,8 @@
 // know of its successor.
 func (o *Owner) replyState(now time.Duration, id string, reply func(intake.Reply)) {
 	switch r := o.state(id); {
+	case o.awaitsEnd(id, r) && o.queries.wait(now, id, reply):
+		o.counters.WaitedQueries.Add(1)
 	case r.Outcome != intake.NotFound:
 		reply(r)
 	case o.commitTooSlow(now):
