scheduler, cell: new jobs are classified by their organisation's share

Jobs beyond the share of their organisation were told from others nowhere. The owner now classifies each new job of an organisation as it accepts it, and records the class with the job. A job beyond the share is refused at once (429, with the time until the account holds a job again) if such jobs of its organisation have waited, without any task placed, for so long that they can't be useful any more. The cell notes that with each tick. A job that has waited twice as long no longer counts: it may be unable to start at all. Jobs within the share and repeats are never refused by this, and jobs that could not be recorded are not charged. The owner logs organisations that their limit or share restricts, each at most every 5 s.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -76,11 +76,13 @@
 	// limits kept waiting in the last scheduling pass, by organisation.
 	usage    organisation.Usage
 	heldBack map[string]int
+	// overdue holds the organisations of which jobs beyond the share wait for too long.
+	overdue map[string]bool
 }
 
 // New returns an empty cell.
 func New(options Options) *Cell {
-	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, calibrations: map[string]forecast.Calibration{}, heldBack: map[string]int{}}
+	return &Cell{options: options, jobs: map[string]*job{}, workers: map[string]*worker{}, speeds: speeds{}, eligibleRatios: eligibleRatios{}, durations: map[string]forecast.Model{}, spreads: map[string]spread{}, calibrations: map[string]forecast.Calibration{}, heldBack: map[string]int{}, overdue: map[string]bool{}}
 }
 
 // SetCatalogue puts a version of the operator's queues in force. It ignores versions older
--- a/cell/job.go
+++ b/cell/job.go
@@ -150,6 +150,15 @@
 	return j.state, true
 }
 
+// Job returns a job that is not final or still has open runs.
+func (c *Cell) Job(id string) (workload.Job, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return workload.Job{}, false
+	}
+	return j.Job, true
+}
+
 // MayFinish reports whether a job may be done without the start of another run.
 func (c *Cell) MayFinish(id string) bool {
 	j := c.jobs[id]
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -35,6 +35,7 @@
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		c.checkRuns(now, w)
 	}
+	c.updateOverdue(now)
 	c.stale = true
 	c.Schedule(now)
 }
--- a/organisation/admission.go
+++ b/organisation/admission.go
@@ -59,6 +59,11 @@
 // and refused.
 type Counts struct{ Within, Beyond, Refused int64 }
 
+// Minus returns the difference.
+func (c Counts) Minus(other Counts) Counts {
+	return Counts{Within: c.Within - other.Within, Beyond: c.Beyond - other.Beyond, Refused: c.Refused - other.Refused}
+}
+
 // Verdict is the result of Admit.
 type Verdict struct {
 	// BeyondShare reports whether the job is beyond the share of its organisation.
@@ -71,13 +76,13 @@
 // Refused reports whether the job is refused.
 func (v Verdict) Refused() bool { return v.RetryAfter > 0 }
 
-// SetWeights replaces all weights. One that is not positive, or not finite, counts as
+// SetWeights replaces all weights. One that is negative or no number counts as
 // workload.DefaultWeight.
 func (a *Admission) SetWeights(organisations []workload.Organisation) {
 	a.weights, a.totalWeight = map[string]float64{}, 0
 	for _, o := range organisations {
 		weight := o.Weight
-		if !(weight > 0) || math.IsInf(weight, 1) {
+		if !(weight >= 0) {
 			weight = workload.DefaultWeight
 		}
 		a.weights[o.Name] = weight
@@ -155,6 +160,9 @@
 	if !listed {
 		weight = workload.DefaultWeight
 	}
+	if weight == 0 {
+		return maxJobTime
+	}
 	rate := weight * max(1, a.rate(now)/max(weight, a.totalWeight))
 	return time.Duration(min(1/rate, maxJobTime.Seconds()) * float64(time.Second))
 }
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -83,6 +83,9 @@
 			o.refuseOverloaded(reply, "the owner is behind")
 			return
 		}
+		if !o.admit(now, &c.Job, reply) {
+			return
+		}
 		o.accept(now, c.Job)
 	}
 	if waiting, ok := o.newJobReplies[c.ID]; ok {
@@ -174,7 +177,7 @@
 	}
 	o.refuseUnconfirmed(now)
 	for id, replies := range o.newJobReplies {
-		if !o.cell.Abandon(now, id) {
+		if !o.abandon(now, id) {
 			// It was cancelled: its end is to be recorded.
 			continue
 		}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -48,6 +48,7 @@
 			o.prune(clock.Now())
 			o.logLoad(clock.Now())
 			o.logForecasts(clock.Now())
+			o.updateOrganisations(clock.Now())
 		case <-wake.C:
 		case err := <-o.commitResults:
 			unrecorded, err := o.setApartRejected(err)
--- a/scheduler/job_page.go
+++ b/scheduler/job_page.go
@@ -175,7 +175,7 @@
 
 // estimateSize estimates the encoded size of a job. The result tends to be too high.
 func estimateSize(j workload.Job) int {
-	size := len(j.Spec) + 2*maxStepBytes
+	size := len(j.Spec) + len(j.Organisation) + 2*maxStepBytes
 	for _, s := range j.Steps {
 		size += maxStepBytes + 9*len(s.After) + len(s.Requires) + len(s.Affinity) + len(s.Image)
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/organisation"
 	"github.com/vanillaquay/vanillaquay/ring"
 	"github.com/vanillaquay/vanillaquay/upkeep"
 	"github.com/vanillaquay/vanillaquay/workload"
@@ -71,8 +72,15 @@
 	// that the cell uses.
 	catalogue        atomic.Pointer[workload.Catalogue]
 	appliedCatalogue *workload.Catalogue
-	records          *records
-	waves            waves
+	// admission classifies new jobs.
+	admission organisation.Admission
+	// organisations is the status of the organisations, computed at lastOrganisations, and
+	// loggedOrganisations what was last logged of each.
+	organisations       atomic.Pointer[[]OrganisationStatus]
+	lastOrganisations   time.Duration
+	loggedOrganisations map[string]organisationLog
+	records             *records
+	waves               waves
 	// newJobReplies holds, for each job that is not part of any transaction yet, the
 	// callers that wait for its acceptance.
 	newJobReplies map[string][]func(intake.Reply)
@@ -138,8 +146,8 @@
 	return &Owner{
 		options: options, ledger: l, store: store, workers: workers, machines: machines, members: members, log: log, counters: counters,
 		events: ring.New[event](maxQueuedEvents), cell: cell.New(options.CellOptions), sessions: map[string]*workerSession{}, ramp: newWorkerRamp(),
-		records:       newRecords(options.Cell),
-		learned:       learnedRows{},
+		records: newRecords(options.Cell),
+		learned: learnedRows{}, loggedOrganisations: map[string]organisationLog{},
 		waves:         waves{planner: upkeep.New(options.UpkeepTime), restored: map[int64]upkeep.Progress{}, status: ring.New[upkeep.Progress](maxQueuedStatuses)},
 		newJobReplies: map[string][]func(intake.Reply){}, pendingFinal: map[string]bool{}, commitResults: make(chan error, 1), tenureStart: clock.Now(), resigning: make(chan struct{}), superseded: make(chan struct{}),
 	}
@@ -181,6 +189,7 @@
 func (o *Owner) applyCatalogue() {
 	if c := o.catalogue.Load(); c != o.appliedCatalogue {
 		o.cell.SetCatalogue(*c)
+		o.admission.SetWeights(o.cell.Organisations())
 		o.appliedCatalogue = c
 	}
 }
--- a/scheduler/rejected.go
+++ b/scheduler/rejected.go
@@ -65,7 +65,7 @@
 	case ledger.JobTable:
 		jobs := o.records.jobs.reject(r.Key)
 		for _, id := range jobs {
-			o.cell.Abandon(clock.Now(), id)
+			o.abandon(clock.Now(), id)
 			o.records.progress.remove(id)
 			o.dispatcher.RemoveJob(id)
 		}
