front: metrics and dump tell the use, limit and share of organisations

Operators could not see which organisations their limits or shares restrict. The owner's metrics and dump now have, for each organisation, its use, limit and weight, the jobs accepted within and beyond its share, those refused, and the steps that the limit keeps waiting.

--- a/front/serve.go
+++ b/front/serve.go
@@ -16,7 +16,9 @@
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/server"
+	"github.com/vanillaquay/vanillaquay/task"
 )
 
 const (
@@ -127,23 +129,46 @@
 	line("heap_bytes", memory.HeapAlloc)
 	line("system_bytes", memory.Sys)
 	line("goroutines", runtime.NumGoroutine())
+	if owner := h.localOwner(); owner != nil {
+		for _, s := range owner.Organisations() {
+			writeOrganisation(line, s)
+		}
+	}
 	for name, s := range map[string]fmt.Stringer{"commit": &h.counters.Commit, "order": &h.counters.Order} {
 		line(name+"_latency", s)
 	}
 }
 
+// writeOrganisation writes the metrics of an organisation, which only the owner has.
+func writeOrganisation(line func(name string, value any), s scheduler.OrganisationStatus) {
+	for _, m := range []struct {
+		name  string
+		value any
+	}{
+		{"weight", s.Weight},
+		{"used_processors", float64(s.Used.Processors) / float64(task.Processor)}, {"limit_processors", float64(s.Limit.Processors) / float64(task.Processor)},
+		{"used_memory_bytes", s.Used.Memory}, {"limit_memory_bytes", s.Limit.Memory},
+		{"used_accelerators", s.Used.Accelerators}, {"limit_accelerators", s.Limit.Accelerators},
+		{"held_back_steps", s.HeldBack},
+		{"jobs_within_share_total", s.Within}, {"jobs_beyond_share_total", s.Beyond}, {"jobs_refused_total", s.Refused},
+	} {
+		line(fmt.Sprintf("organisation_%s{organisation=%q}", m.name, s.Name), m.value)
+	}
+}
+
 // serveDump writes the state of the process.
 func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
 	h.mu.Lock()
 	lease, owner := h.lease, h.owner
 	h.mu.Unlock()
 	var forecasts []cell.Forecast
+	var organisations []scheduler.OrganisationStatus
 	if owner != nil {
-		forecasts = owner.Forecasts()
+		forecasts, organisations = owner.Forecasts(), owner.Organisations()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(map[string]any{
-		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": owner != nil, "Forecasts": forecasts,
+		"Host": h.settings().Host, "Incarnation": h.incarnation, "Owner": lease.Owner, "Fence": lease.Fence, "Owns": owner != nil, "Forecasts": forecasts, "Organisations": organisations,
 		"Members": h.members.names(), "Links": h.hub.Stats(), "Settings": h.settings(), "ConfigurationVersion": h.forwarder.CatalogueVersion(),
 	}); err != nil {
 		h.log.WithError(err).Warn("front: dump not written")
