organisation, cell: an organisation's burst doesn't raise its own share

The share of an organisation grew with the rate of all jobs, its own included: one with a third of all jobs that sent six times its usual counted two times its weight as within. The rate of the others counts now.

Steps of jobs beyond the share are ordered as if their objective were twice as long.

--- a/cell/rank.go
+++ b/cell/rank.go
@@ -23,6 +23,10 @@
 	lateness lateness
 	// startBy is the latest start at which the job meets its objective.
 	startBy time.Duration
+	// countedStart is startBy, later by the objective if the job is beyond the share of its
+	// organisation: it then comes after the jobs within their share that have to start in that
+	// time, but before those that can wait for longer.
+	countedStart time.Duration
 	// work is the cost of the whole job in processor-seconds.
 	work float64
 }
@@ -42,6 +46,10 @@
 	c.updateEstimates(s.job)
 	s.tightDeadline, s.deadline = s.job.hasTightDeadline(queue), c.deadlineOf(now, s, queue)
 	r := rankedStep{step: s, queue: queue, routed: routed, startBy: s.latestStart(queue), work: s.job.work}
+	r.countedStart = r.startBy
+	if s.job.BeyondShare {
+		r.countedStart += s.job.objective(queue)
+	}
 	switch {
 	case now <= r.startBy:
 	case now <= s.expiryTime(queue):
@@ -57,30 +65,17 @@
 	return s.latestStart(queue) + (expiryFactor-1)*s.job.objective(queue)
 }
 
-// compare orders steps by class and lateness and then by their latest start, but late steps by
+// compare orders steps by lateness and then by the start that they count for, but late steps by
 // the work of their jobs: small jobs earn more for the capacity that they use.
 func (r rankedStep) compare(other rankedStep) int {
-	byStart := cmp.Compare(r.startBy, other.startBy)
+	byStart := cmp.Compare(r.countedStart, other.countedStart)
 	if r.lateness == late {
 		byStart = cmp.Compare(r.work, other.work)
 	}
-	return cmp.Or(cmp.Compare(r.class(), other.class()), cmp.Compare(r.lateness, other.lateness), byStart, cmp.Compare(r.queue.Priority, other.queue.Priority),
+	return cmp.Or(cmp.Compare(r.lateness, other.lateness), byStart, cmp.Compare(r.queue.Priority, other.queue.Priority),
 		cmp.Compare(r.id.Job, other.id.Job), cmp.Compare(r.id.Step, other.id.Step), cmp.Compare(r.id.Occurrence, other.id.Occurrence))
 }
 
-// class returns the class of a step; lower classes go first. Jobs beyond the share of their
-// organisation come after those within that still earn anything.
-func (r rankedStep) class() int {
-	switch {
-	case r.lateness == expired:
-		return 2
-	case r.job.BeyondShare:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // latestStart returns the latest start of a step at which its job meets its objective.
 func (s *step) latestStart(queue workload.Queue) time.Duration {
 	return s.waitingSince + s.job.objective(queue) - s.job.chainEstimates[s.id.Step]
--- a/organisation/admission.go
+++ b/organisation/admission.go
@@ -31,9 +31,10 @@
 )
 
 // Admission classifies new jobs as within or beyond the share of their organisation. Each has an
-// account in jobs, which fills at its weight in jobs a second, or at its part by weight of the rate
-// of all accepted jobs if that is more: weights may be rates or plain ratios. A job that finds less
-// than one job in the account is beyond the share.
+// account in jobs, which fills at its weight in jobs a second, or, if the others send more than
+// their weights, at as many times its weight: weights may be rates or plain ratios. What it sends
+// itself doesn't raise its share. A job that finds less than one job in the account is beyond the
+// share.
 //
 // In the zero value all accounts are full, and all weights are workload.DefaultWeight. Jobs without
 // an organisation, which has the name "", are within the share and don't count.
@@ -41,10 +42,25 @@
 	weights     map[string]float64
 	totalWeight float64
 	accounts    map[string]*account
-	// accepted is the number of accepted jobs, decayed up to countedAt. The first was counted at
-	// startedAt.
-	accepted             float64
-	startedAt, countedAt time.Duration
+	// accepted is the decayed number of accepted jobs, of which the first was counted at startedAt.
+	accepted  decayedCount
+	startedAt time.Duration
+}
+
+// decayedCount is a number of jobs that count less the older they are.
+type decayedCount struct {
+	value     float64
+	countedAt time.Duration
+}
+
+// at returns the number at a time.
+func (d decayedCount) at(now time.Duration) float64 {
+	return d.value * math.Exp(-(now-d.countedAt).Seconds()/rateDecay.Seconds())
+}
+
+// with returns the number after n more jobs.
+func (d decayedCount) with(now time.Duration, n float64) decayedCount {
+	return decayedCount{value: max(0, d.at(now)+n), countedAt: now}
 }
 
 // account is measured in the time that it takes to fill, so that a change of the rate leaves the
@@ -52,7 +68,9 @@
 type account struct {
 	// fullAt is when the account is full, unless jobs are taken from it before.
 	fullAt time.Duration
-	counts Counts
+	// accepted is the decayed number of the organisation's accepted jobs.
+	accepted decayedCount
+	counts   Counts
 }
 
 // Counts are the numbers of jobs of an organisation that were accepted within and beyond its share,
@@ -96,7 +114,9 @@
 	if name == "" {
 		return Verdict{}
 	}
-	a.decay(now)
+	if a.accepted.value == 0 {
+		a.startedAt = now
+	}
 	c := a.account(name)
 	jobTime := a.jobTime(now, name)
 	missing := max(0, c.fullAt-now)
@@ -113,7 +133,7 @@
 		c.counts.Within++
 		c.fullAt = now + missing + jobTime
 	}
-	a.accepted++
+	a.accepted, c.accepted = a.accepted.with(now, 1), c.accepted.with(now, 1)
 	return v
 }
 
@@ -124,7 +144,7 @@
 	if c == nil {
 		return
 	}
-	a.accepted = max(0, a.accepted-1)
+	a.accepted, c.accepted = a.accepted.with(now, -1), c.accepted.with(now, -1)
 	if !beyondShare {
 		c.fullAt -= a.jobTime(now, name)
 	}
@@ -138,20 +158,12 @@
 	return Counts{}
 }
 
-// decay makes the accepted jobs count less the older they are.
-func (a *Admission) decay(now time.Duration) {
-	if a.accepted == 0 {
-		a.startedAt = now
-	}
-	a.accepted *= math.Exp(-(now - a.countedAt).Seconds() / rateDecay.Seconds())
-	a.countedAt = now
-}
-
-// rate returns the recent rate of accepted jobs, in jobs a second.
-func (a *Admission) rate(now time.Duration) float64 {
+// rateOfOthers returns the recent rate of the accepted jobs of all other organisations, in jobs a
+// second.
+func (a *Admission) rateOfOthers(now time.Duration, name string) float64 {
 	// The decayed count of a steady rate of 1 since startedAt.
 	window := rateDecay.Seconds() * (1 - math.Exp(-(now-a.startedAt).Seconds()/rateDecay.Seconds()))
-	return a.accepted / max(minRateWindow.Seconds(), window)
+	return (a.accepted.at(now) - a.account(name).accepted.at(now)) / max(minRateWindow.Seconds(), window)
 }
 
 // jobTime returns the time in which an account fills by one job.
@@ -163,7 +175,10 @@
 	if weight == 0 {
 		return maxJobTime
 	}
-	rate := weight * max(1, a.rate(now)/max(weight, a.totalWeight))
+	rate := weight
+	if others := a.totalWeight - weight; others > 0 {
+		rate *= max(1, a.rateOfOthers(now, name)/others)
+	}
 	return time.Duration(min(1/rate, maxJobTime.Seconds()) * float64(time.Second))
 }
 
--- a/organisation/admission_test.go
+++ b/organisation/admission_test.go
@@ -93,3 +93,18 @@
 		a.Return(time.Second, "a", v.BeyondShare)
 	}
 }
+
+// One large organisation sends many times its weight while the others are below theirs. Its own
+// jobs must not raise its share: in a second no more than its weight and what the account held are
+// within.
+func TestOwnJobsDoNotRaiseTheShare(t *testing.T) {
+	var a organisation.Admission
+	a.SetWeights([]workload.Organisation{{Name: "large", Weight: 60}, {Name: "other", Weight: 100}})
+	within := 0
+	for now := time.Minute; now < time.Minute+10*time.Second; now += 3 * time.Millisecond {
+		if !a.Admit(now, "large", false).BeyondShare {
+			within++
+		}
+	}
+	qt.Assert(t, within >= 600 && within <= 15*60+1, qt.IsTrue, qt.Commentf("%d jobs in 10 s", within))
+}
