server, front: callers' requests and connections are bounded

Callers saw: a host ran out of memory, and none of its callers got a response. Cause: each body was read into a buffer of its own, without a bound on the total and without a deadline; connections had no bound and no idle timeout, headers could have 1 MB, and the kernel kept up to 128 KB unread for each connection.

Now one budget of an eighth of limits.memory_mb is charged for headers and bodies as they arrive, and for the decoded form, and released when the request ends. Under pressure the request that makes the least progress is dropped; large ones are then read with pauses, which leaves processor time to others. A body has 3 s, and 64 KiB/s after that. Connections of callers take at most a quarter of the memory, with receive buffers of 24 KiB, and half of the descriptors; at the limit the one whose client has used the largest share of its time makes room for a new one, unless its request has arrived. A request refused for any of this gets 503 with Retry-After, or its connection is closed, and is not submitted. A body that is complete only after its caller's timeout is now refused; it was submitted before. Counts are in the metrics, and in one line a second at most.

Why it works: what has not arrived may be dropped, as nothing runs before; what has is never dropped. So clients that do not finish hold only what others leave.

--- a/front/export_test.go
+++ b/front/export_test.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/platform"
 )
 
 // ListMembers returns the names of the members after the rows were read as one list, and
@@ -17,3 +18,18 @@
 	}
 	return all.names(), slices.Clone(each.names())
 }
+
+// OtherDescriptors is the number of descriptors that are kept for files and probes.
+const OtherDescriptors = otherDescriptors
+
+// Limits are the limits of a process. ConnectionBytes is the memory of all connections of callers.
+type Limits struct {
+	Callers, Links, ConnectionBytes int
+	RequestBytes                    int64
+}
+
+// LimitsOf returns the limits that follow from settings.
+func LimitsOf(s platform.Settings) Limits {
+	l := limitsOf(s)
+	return Limits{Callers: l.callers, Links: l.links, ConnectionBytes: l.callers * connectionBytes, RequestBytes: l.requestBytes}
+}
--- a/front/host.go
+++ b/front/host.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/carrier"
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
@@ -69,6 +70,11 @@
 	stopping   atomic.Bool
 	background sync.WaitGroup
 	allServers []*server.Server
+	servers    servers
+	// ingress handles the calls of callers.
+	ingress *platform.Ingress
+	// requestMemory bounds the memory that requests of callers hold.
+	requestMemory *budget.Budget
 
 	// catalogueRefresh and membersRefresh make the watches of the catalogue and the members
 	// reissue the call in flight.
@@ -98,6 +104,7 @@
 		store: platform.NewStore(settings.StoreAddress), workerClient: platform.NewWorkerClient(),
 		waves: map[int64]upkeep.Wave{}, questions: ring.New[queuedQuestion](maxQueuedQuestions),
 		catalogueRefresh: ring.New[struct{}](1), membersRefresh: ring.New[struct{}](1),
+		requestMemory: budget.New(0),
 	}
 	h.currentSettings.Store(&settings)
 	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
@@ -108,6 +115,9 @@
 	h.relay = carrier.NewRelay(h.workerClient, h, log)
 	h.carrier = carrier.NewCarrier(h.workerClient, h.fence, h.sendWorkerAnswers)
 	h.forwarder = intake.NewForwarder(h, log)
+	h.ingress = &platform.Ingress{Intake: h.forwarder}
+	h.servers = h.newServers()
+	h.applyLimits()
 	return h
 }
 
@@ -131,7 +141,7 @@
 		return err
 	}
 	h.subscribe(ctx)
-	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically} {
+	for _, loop := range []func(context.Context){h.registerMember, h.watchMembers, h.watchCatalogue, h.watchLease, h.competeForCell, h.yieldCell, h.serveQuestions, h.serveQuestions, h.announcePeriodically, h.logRefusals} {
 		h.background.Add(1)
 		go func() {
 			defer h.background.Done()
--- a/front/reconfigure.go
+++ b/front/reconfigure.go
@@ -28,6 +28,7 @@
 		return
 	}
 	h.currentSettings.Store(&next)
+	h.applyLimits()
 	if next.AdviceAddress != earlier.AdviceAddress {
 		h.advisor.Store(platform.NewAdvisor(next.AdviceAddress))
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -27,55 +27,87 @@
 	// readyGrace is how long a host that cannot reach an owner stays ready; a takeover
 	// takes some 2 s.
 	readyGrace = 4 * time.Second
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds the time to read the header of a request, maxHeaderBytes its size
+	// (package http adds 4,096 bytes), and idleTimeout the time between two requests on a
+	// connection. Callers send headers of 16,384 bytes at most within 3 s, and leave a connection
+	// idle for 15 s at most.
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 16 << 10
+	idleTimeout    = 20 * time.Second
+	// unreadTimeout bounds the time for a request whose body is not read, such as one without a
+	// queue. Bodies that are read have a limit of their own.
+	unreadTimeout = 10 * time.Second
 	// MetricsPort and MetricsPath are the port and the path of the metrics, which are
 	// served as text.
 	MetricsPort = 9464
 	MetricsPath = "/metrics"
 )
 
-// startServers starts all servers, and returns those for callers and for the balancer.
-func (h *Host) startServers() ([]*server.Server, error) {
-	callers, err := h.startServer(h.settings().CallerAddress, &platform.Ingress{Intake: h.forwarder})
-	if err != nil {
-		return nil, err
-	}
+// servers holds the servers of a host.
+type servers struct {
+	// callers serves callers, probes the load balancer, links other hosts.
+	callers, probes, links, metrics *server.Server
+}
+
+// newServers returns the servers of a host, which do not listen yet.
+func (h *Host) newServers() servers {
 	ready := chi.NewRouter()
 	ready.Get(platform.PathReady, h.serveReady)
-	balancer, err := h.startServer(h.settings().ReadyAddress, ready)
-	if err != nil {
-		return nil, err
-	}
 	links := chi.NewRouter()
 	links.Handle(peer.Path, h.hub)
-	if _, err := h.startServer(net.JoinHostPort(h.settings().IP, strconv.Itoa(h.settings().PeerPort)), links); err != nil {
-		return nil, err
-	}
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.serveMetrics)
 	debug.Get("/dump", h.serveDump)
-	if _, err := h.startServer(net.JoinHostPort(h.settings().IP, strconv.Itoa(MetricsPort)), debug); err != nil {
-		return nil, err
-	}
-	return []*server.Server{callers, balancer}, nil
+	s := servers{callers: newServer(h.ingress), probes: newServer(ready), links: newServer(links), metrics: newServer(debug)}
+	s.callers.Memory = h.requestMemory
+	s.probes.LimitConnections(maxProbeConnections)
+	s.metrics.LimitConnections(maxProbeConnections)
+	return s
 }
 
-func (h *Host) startServer(address string, handler http.Handler) (*server.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "listening at %s", address)
+// startServers starts all servers, and returns those for callers and for the balancer.
+func (h *Host) startServers() ([]*server.Server, error) {
+	settings := h.settings()
+	for _, each := range []struct {
+		server  *server.Server
+		address string
+		listen  func(address string) (net.Listener, error)
+	}{
+		{h.servers.callers, settings.CallerAddress, server.Listen},
+		{h.servers.probes, settings.ReadyAddress, server.Listen},
+		{h.servers.links, net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), listen},
+		{h.servers.metrics, net.JoinHostPort(settings.IP, strconv.Itoa(MetricsPort)), server.Listen},
+	} {
+		listener, err := each.listen(each.address)
+		if err != nil {
+			return nil, errors.Annotatef(err, "listening at %s", each.address)
+		}
+		h.serve(each.server, listener)
 	}
-	started := &server.Server{Server: http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	return []*server.Server{h.servers.callers, h.servers.probes}, nil
+}
+
+// listen opens an address for links, which need the large receive buffers of the system.
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// newServer returns a server for a handler.
+func newServer(handler http.Handler) *server.Server {
+	return &server.Server{Server: http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadTimeout: unreadTimeout, IdleTimeout: idleTimeout,
+	}}
+}
+
+// serve starts a server.
+func (h *Host) serve(s *server.Server, listener net.Listener) {
 	h.background.Add(1)
 	go func() {
 		defer h.background.Done()
-		if err := started.Serve(listener); err != nil {
-			h.log.WithError(err).WithField("address", address).Error("front: server failed")
+		if err := s.Serve(listener); err != nil {
+			h.log.WithError(err).WithField("address", listener.Addr().String()).Error("front: server failed")
 		}
 	}()
-	h.allServers = append(h.allServers, started)
-	return started, nil
+	h.allServers = append(h.allServers, s)
 }
 
 // serveReady reports to the balancer whether this host accepts calls.
@@ -116,6 +148,15 @@
 	line("rejected_rows_total", h.counters.RejectedRows.Load())
 	line("store_calls_total", h.store.Calls.Load())
 	line("takeovers_total", h.takeovers.Load())
+	refused, requests := h.refusals(), h.requestMemory.Stats()
+	line("connections_refused_total", refused.ConnectionsRefused)
+	line("connections_evicted_total", refused.ConnectionsEvicted)
+	line("requests_dropped_total", refused.RequestsDropped)
+	line("requests_refused_total", refused.RequestsRefused)
+	line("bodies_too_slow_total", refused.BodiesTooSlow)
+	line("caller_connections", h.servers.callers.OpenConnections())
+	line("request_bytes", requests.Held)
+	line("request_bytes_limit", requests.Limit)
 	line("heap_bytes", memory.HeapAlloc)
 	line("system_bytes", memory.Sys)
 	line("goroutines", runtime.NumGoroutine())
--- /dev/null
+++ b/server/limit.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillaquay/vanillaquay/budget"
+	"github.com/vanillaquay/vanillaquay/clock"
+)
+
+// answerTime is how long an answer may take to be written before the connection may be closed for
+// another one. Answers have some 100 bytes.
+const answerTime = time.Second
+
+// MaxClosing bounds the connections that are being closed in favour of others. They have
+// descriptors beyond the limit of connections.
+const MaxClosing = 16
+
+// maxEvictionChecks bounds the connections that are asked for unread bytes before one is closed. A
+// check is a system call.
+const maxEvictionChecks = 8
+
+// Counters counts what a server has refused to its clients. The zero value is ready.
+type Counters struct {
+	// ConnectionsRefused counts connections that were closed at once, and ConnectionsEvicted those
+	// that were closed in favour of new ones.
+	ConnectionsRefused, ConnectionsEvicted atomic.Int64
+	// BodiesTooSlow counts requests whose body did not arrive in time.
+	BodiesTooSlow atomic.Int64
+}
+
+// connectionKey is the key of a connection in the context of its requests.
+type connectionKey struct{}
+
+// limitedListener accepts the connections of a server within its limits.
+type limitedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. Connections that find no room are closed.
+func (l limitedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.server.admit(accepted); c != nil {
+			return c, nil
+		}
+		// The client may have closed it already.
+		_ = accepted.Close()
+	}
+}
+
+// admit returns a connection that was accepted, or nil if there is no room for it. At the limit it
+// closes the connection whose client has used most of its time. Clients that leave requests
+// unfinished, or send none, thus keep no connections from others.
+func (s *Server) admit(accepted net.Conn) *connection {
+	c := &connection{Conn: accepted, server: s, since: clock.Now(), aborted: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.maxConnections > 0 && len(s.open) >= s.maxConnections && !s.evictOne(c.since) {
+		s.Counters.ConnectionsRefused.Add(1)
+		return nil
+	}
+	s.open[c] = struct{}{}
+	return c
+}
+
+// evictOne closes a connection that waits for its client, and reports whether there was one. The
+// caller holds s.mu.
+func (s *Server) evictOne(now time.Duration) bool {
+	if s.closing >= MaxClosing {
+		return false
+	}
+	c := s.longestWaited(now)
+	if c == nil || !c.evict() {
+		return false
+	}
+	delete(s.open, c)
+	s.closing++
+	s.Counters.ConnectionsEvicted.Add(1)
+	go func() {
+		// Close waits until the goroutine of the connection has noticed, which closes it again.
+		_ = c.Conn.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.closing--
+	}()
+	return true
+}
+
+// longestWaited returns the connection whose client has used the largest share of its time, or nil
+// if there is none that waits for its client. The caller holds s.mu.
+func (s *Server) longestWaited(now time.Duration) *connection {
+	var passed []*connection
+	for range maxEvictionChecks {
+		var longest *connection
+		most := 0.0
+		for c := range s.open {
+			if share, waits := c.waited(now); waits && (longest == nil || share > most) && !slices.Contains(passed, c) {
+				longest, most = c, share
+			}
+		}
+		if longest == nil || !longest.hasUnreadRequest() {
+			return longest
+		}
+		passed = append(passed, longest)
+	}
+	return nil
+}
+
+func (s *Server) forget(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// LimitConnections bounds the connections that are open at once; 0 is no limit. Those beyond a
+// lowered limit stay open.
+func (s *Server) LimitConnections(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxConnections = limit
+}
+
+// OpenConnections returns the number of open connections.
+func (s *Server) OpenConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// withConnection returns the context of the requests of a connection.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// limitRequests charges the requests of a handler to the budget of the server. Their contexts have
+// the charges.
+func (s *Server) limitRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connectionKey{}).(*connection)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		charge, ok := c.beginRequest(hasBody)
+		defer c.endRequest(finishing)
+		if !ok {
+			// It was dropped, and its connection is closed.
+			panic(http.ErrAbortHandler)
+		}
+		r = r.WithContext(budget.NewContext(r.Context(), charge))
+		if hasBody {
+			r.Body = &body{ReadCloser: r.Body, connection: c, charge: charge, begun: time.Now()}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
 
@@ -21,16 +22,28 @@
 	drainPollInterval = 5 * time.Millisecond
 )
 
-// Server is an HTTP server. The zero value is ready. It is safe for concurrent use.
+// Server is an HTTP server. The zero value is ready and has no limits. It is safe for concurrent
+// use.
 //
 // http.Server.Shutdown closes a new connection without an answer if it reads the first
 // request only after Shutdown was called; the client can't know whether the request
 // was carried out. Drain answers such requests too.
 type Server struct {
 	http.Server
+	// Memory bounds what the requests of all clients hold while they arrive and are handled. It
+	// must not change after Serve; nil is no limit.
+	Memory *budget.Budget
+	// Counters counts what exceeded the limits.
+	Counters Counters
 
 	mu       sync.Mutex
 	listener net.Listener
+	// maxConnections bounds the open connections; 0 is no limit.
+	maxConnections int
+	// open holds the open connections, except those that are being closed in favour of others, and
+	// closing is the number of the latter.
+	open    map[*connection]struct{}
+	closing int
 	// openedAt holds the connections without a request so far, by time of opening.
 	openedAt map[net.Conn]time.Time
 	// active holds the connections with a request in flight.
@@ -41,8 +54,14 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener, s.openedAt, s.active = l, map[net.Conn]time.Time{}, map[net.Conn]bool{}
+	s.open = map[*connection]struct{}{}
+	limited := s.Memory != nil || s.maxConnections > 0
 	s.mu.Unlock()
 	s.ConnState = s.trackState
+	if limited {
+		s.ConnContext, s.Handler = withConnection, s.limitRequests(s.Handler)
+		l = limitedListener{Listener: l, server: s}
+	}
 	if err := s.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
@@ -51,6 +70,14 @@
 
 // trackState records the state of a connection.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
+	if limited, ok := c.(*connection); ok {
+		switch state {
+		case http.StateIdle:
+			limited.changePhase(idle)
+		case http.StateHijacked:
+			limited.changePhase(hijacked)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.openedAt, c)
