cell: equal runs on a worker have a fixed order

Runs of different jobs that were placed on a worker at the same time were checked in the order of a map, so that two cells with the same events logged lapsed runs, and sent orders to stop, in different orders. Ties are now broken by the ID of the step. Found by the property test of explanations, which compares two cells.

--- a/cell/report.go
+++ b/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -303,19 +304,16 @@
 	c.closeRun(now, w, r)
 }
 
+// sortedRuns returns the runs on a worker in the order in which they were placed. Runs of several
+// jobs may be placed at the same time.
 func (w *worker) sortedRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
 		runs = append(runs, r)
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
-		if a.placedAt != b.placedAt {
-			return int(a.placedAt - b.placedAt)
-		}
-		if a.id.Index != b.id.Index {
-			return a.id.Index - b.id.Index
-		}
-		return a.number - b.number
+		return cmp.Or(cmp.Compare(a.placedAt, b.placedAt), cmp.Compare(a.id.Index, b.id.Index), cmp.Compare(a.number, b.number),
+			cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Occurrence, b.id.Occurrence))
 	})
 	return runs
 }
