--- a/organisation/usage.go
+++ b/organisation/usage.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// Clone returns a copy that changes independently.
+func (u *Usage) Clone() Usage { return Usage{limits: u.limits, used: maps.Clone(u.used)} }
+
 // Fits reports whether work may start without exceeding the limit of its organisation.
 func (u *Usage) Fits(name string, size task.Size) bool {
 	return !u.IsLimited(name) || size.Fits(u.Headroom(name))
