cli, front, scheduler: vanillaquay explain asks the owner

The owner answers a query in its event loop within 2 s, one at a time, so that tools can't displace the events of workers. POST /explain at the metrics port serves it as JSON; another host refers to the owner, which the command asks once. To what the cell tells the owner adds whether a new job would be refused or is beyond the share of its organisation, by Admission.Preview, which counts nothing.

--- a/cli/run.go
+++ b/cli/run.go
@@ -21,6 +21,7 @@
 	Drain     drainCommand     `cmd:"" group:"operators" help:"Keep new work from a worker or an entry host."`
 	Undrain   undrainCommand   `cmd:"" group:"operators" help:"Take a drain back."`
 	Dump      dumpCommand      `cmd:"" group:"operators" help:"Print the state of a process."`
+	Explain   explainCommand   `cmd:"" group:"hosts" help:"Tell where a job would run now, or what it waits for."`
 	Breakdown breakdownCommand `cmd:"" group:"hosts" help:"Tell from logs where jobs spent their time."`
 	Demo      demoCommand      `cmd:"" help:"Show a whole cell at work in one process."`
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -33,9 +33,10 @@
 	// headerTimeout bounds the time to read the header of a request.
 	headerTimeout = 5 * time.Second
 	// MetricsPort and MetricsPath are the port and the path of the metrics, which are
-	// served as text.
+	// served as text. ExplainPath is the path of explanations at the same port.
 	MetricsPort = 9464
 	MetricsPath = "/metrics"
+	ExplainPath = "/explain"
 )
 
 // startServers starts all servers, and returns those for callers and for the balancer.
@@ -58,6 +59,7 @@
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.serveMetrics)
 	debug.Get("/dump", h.serveDump)
+	debug.Post(ExplainPath, h.serveExplain)
 	if _, err := h.startServer(net.JoinHostPort(h.settings().IP, strconv.Itoa(MetricsPort)), debug); err != nil {
 		return nil, err
 	}
--- a/organisation/admission.go
+++ b/organisation/admission.go
@@ -1,6 +1,7 @@
 package organisation
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -137,6 +138,17 @@
 	return v
 }
 
+// Preview returns what Admit would return, and changes nothing.
+func (a *Admission) Preview(now time.Duration, name string, overloaded bool) Verdict {
+	copied := *a
+	copied.accounts = maps.Clone(a.accounts)
+	if c := a.accounts[name]; c != nil {
+		account := *c
+		copied.accounts[name] = &account
+	}
+	return copied.Admit(now, name, overloaded)
+}
+
 // Return takes back the acceptance of a job that could not be recorded, whose caller will send it
 // again.
 func (a *Admission) Return(now time.Duration, name string, beyondShare bool) {
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -20,6 +20,9 @@
 	// overloadRetryAfter is the Retry-After of calls that are refused because of
 	// MaxCallDelay.
 	overloadRetryAfter = 2 * time.Second
+	// refusedStore and refusedBeyondShare are reasons for a refusal.
+	refusedStore       = "the store is slow or away"
+	refusedBeyondShare = "jobs beyond the share of the organisation wait for too long"
 )
 
 // handleCall executes a call that has waited for the event loop for the given time. It
@@ -147,7 +150,7 @@
 // lasted so far, within bounds: it is expected to last as long again.
 func (o *Owner) refuseUnavailable(now time.Duration, reply func(intake.Reply)) {
 	after := min(maxRetryAfter, max(minRetryAfter, now-o.commitStart))
-	reply(intake.Reply{Outcome: intake.Unavailable, RetryAfter: after, Why: "the store is slow or away"})
+	reply(intake.Reply{Outcome: intake.Unavailable, RetryAfter: after, Why: refusedStore})
 }
 
 // refuseOverloaded refuses a call that has had no effect.
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -136,6 +136,8 @@
 	lastLoadLog, lastForecastLog time.Duration
 	// forecasts is what was last logged about predicted run times, for other goroutines.
 	forecasts atomic.Pointer[[]cell.Forecast]
+	// explaining reports whether a query of Explain is queued for the event loop.
+	explaining atomic.Bool
 	// resigning is closed once the owner has been asked to release the cell.
 	resigning     chan struct{}
 	resigningOnce sync.Once
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -39,7 +39,7 @@
 	job.BeyondShare = v.BeyondShare
 	if v.Refused() {
 		o.counters.Refused.Add(1)
-		reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: v.RetryAfter, Why: "jobs beyond the share of the organisation wait for too long"})
+		reply(intake.Reply{Outcome: intake.Overloaded, RetryAfter: v.RetryAfter, Why: refusedBeyondShare})
 	}
 	return !v.Refused()
 }
