--- a/front/serve.go
+++ b/front/serve.go
@@ -41,9 +41,10 @@
 	// queue. Bodies that are read have a limit of their own.
 	unreadTimeout = 10 * time.Second
 	// MetricsPort and MetricsPath are the port and the path of the metrics, which are
-	// served as text.
+	// served as text. ExplainPath is the path of explanations at the same port.
 	MetricsPort = 9464
 	MetricsPath = "/metrics"
+	ExplainPath = "/explain"
 )
 
 // servers holds the servers of a host.
@@ -61,6 +62,7 @@
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.serveMetrics)
 	debug.Get("/dump", h.serveDump)
+	debug.Post(ExplainPath, h.serveExplain)
 	s := servers{callers: newServer(h.ingress), probes: newServer(ready), links: newServer(links), metrics: newServer(debug)}
 	s.callers.Memory = h.requestMemory
 	s.probes.LimitConnections(maxProbeConnections)
