server: a full server accepts no faster than connections close

Callers saw, in a trial with 4,500 connections without requests, again a second after each was closed: 6 of 65 ordinary requests ended without an answer, as new connections were refused while 16 others were being closed. Accepting now waits for one of them to be closed, and connections are refused only if all others are being answered.

--- a/server/limit.go
+++ b/server/limit.go
@@ -59,38 +59,45 @@
 
 // admit returns a connection that was accepted, or nil if there is no room for it. At the limit it
 // closes the connection whose client has used most of its time. Clients that leave requests
-// unfinished, or send none, thus keep no connections from others.
+// unfinished, or send none, thus keep no connections from others. It is not safe for concurrent use.
 func (s *Server) admit(accepted net.Conn) *connection {
+	if s.isFull() {
+		// Accepting faster than connections close would exceed the descriptors.
+		s.closing <- struct{}{}
+		if !s.evictOne(clock.Now()) {
+			<-s.closing
+			s.Counters.ConnectionsRefused.Add(1)
+			return nil
+		}
+	}
 	c := &connection{Conn: accepted, server: s, since: clock.Now(), aborted: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.maxConnections > 0 && len(s.open) >= s.maxConnections && !s.evictOne(c.since) {
-		s.Counters.ConnectionsRefused.Add(1)
-		return nil
-	}
 	s.open[c] = struct{}{}
 	return c
 }
 
+func (s *Server) isFull() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxConnections > 0 && len(s.open) >= s.maxConnections
+}
+
 // evictOne closes a connection that waits for its client, and reports whether there was one. The
-// caller holds s.mu.
+// caller has put a value into s.closing, which is taken out when the connection is closed.
 func (s *Server) evictOne(now time.Duration) bool {
-	if s.closing >= MaxClosing {
-		return false
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c := s.longestWaited(now)
 	if c == nil || !c.evict() {
 		return false
 	}
 	delete(s.open, c)
-	s.closing++
 	s.Counters.ConnectionsEvicted.Add(1)
 	go func() {
 		// Close waits until the goroutine of the connection has noticed, which closes it again.
 		_ = c.Conn.Close()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.closing--
+		<-s.closing
 	}()
 	return true
 }
--- a/server/server.go
+++ b/server/server.go
@@ -40,10 +40,10 @@
 	listener net.Listener
 	// maxConnections bounds the open connections; 0 is no limit.
 	maxConnections int
-	// open holds the open connections, except those that are being closed in favour of others, and
-	// closing is the number of the latter.
-	open    map[*connection]struct{}
-	closing int
+	// open holds the open connections, except those that are being closed in favour of others.
+	open map[*connection]struct{}
+	// closing holds a value for each of the latter, MaxClosing at most.
+	closing chan struct{}
 	// openedAt holds the connections without a request so far, by time of opening.
 	openedAt map[net.Conn]time.Time
 	// active holds the connections with a request in flight.
@@ -54,7 +54,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener, s.openedAt, s.active = l, map[net.Conn]time.Time{}, map[net.Conn]bool{}
-	s.open = map[*connection]struct{}{}
+	s.open, s.closing = map[*connection]struct{}{}, make(chan struct{}, MaxClosing)
 	limited := s.Memory != nil || s.maxConnections > 0
 	s.mu.Unlock()
 	s.ConnState = s.trackState
