--- a/front/limits.go
+++ b/front/limits.go
@@ -36,6 +36,10 @@
 	// requestMemoryShare is the share of the memory that the requests of callers may hold while
 	// they arrive and are handled. Until garbage is collected they take twice that.
 	requestMemoryShare = 0.125
+	// queueMemoryShare is the share of the memory that messages of one kind from other hosts may
+	// take until they are handled, and that jobs may take which wait for the event loop of the owner.
+	// 300 hosts with callers that send the largest jobs would fill any owner's memory.
+	queueMemoryShare = 0.0625
 	// refusalLogInterval is the interval at which refused and dropped requests are logged.
 	refusalLogInterval = time.Second
 )
@@ -44,6 +48,8 @@
 type limits struct {
 	// requestBytes bounds the memory that requests of callers hold.
 	requestBytes int64
+	// queuedBytes bounds messages of a kind that wait, and jobs that wait for the event loop.
+	queuedBytes int64
 	// callers and links bound connections.
 	callers, links int
 }
@@ -60,6 +66,7 @@
 	sockets := float64(max(1, descriptors-otherDescriptors))
 	return limits{
 		requestBytes: int64(requestMemoryShare * float64(memory)),
+		queuedBytes:  int64(queueMemoryShare * float64(memory)),
 		callers:      max(1, int(min(callerShare*sockets, connectionMemoryShare*float64(memory)/connectionBytes))),
 		links:        max(1, int(linkShare*sockets)),
 	}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -43,6 +43,10 @@
 	// nil. It must not change once there is a link, and must not block.
 	OnAccept func(member string)
 
+	// MaxQueuedBytes bounds the received messages of one kind that wait for their subscriber, in
+	// bytes; 0 is no limit. It must not change once there is a subscriber.
+	MaxQueuedBytes int64
+
 	self       string
 	resolve    Resolver
 	ctx        context.Context
@@ -172,7 +176,7 @@
 	if h.closed {
 		return nil, errors.New("hub is closed")
 	}
-	s := newSubscription()
+	s := newSubscription(h.MaxQueuedBytes)
 	h.subscribers[Kind(kind)] = s
 	h.goroutines.Add(1)
 	go func() {
--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -217,6 +217,26 @@
 	waitFor(c, "dropped messages", func() bool { return p.b.Stats().Dropped[peer.KindCommand] > 0 })
 }
 
+// Load: many hosts send large messages to one that is behind. The number of queued messages alone
+// doesn't bound their memory. Messages of other kinds still arrive.
+func TestQueuedMessagesAreBoundedInBytes(t *testing.T) {
+	const limit, size, messages = 1 << 20, 64 << 10, 40
+	c := qt.New(t)
+	p := newPair(c)
+	p.b.MaxQueuedBytes = limit
+	// Nobody reads from this subscription.
+	_, err := p.b.Subscribe(context.Background(), string(peer.KindCommand))
+	c.Assert(err, qt.IsNil)
+	for range messages {
+		c.Assert(p.a.Send("b", peer.KindCommand, decision.Report{Body: make([]byte, size)}), qt.IsNil)
+	}
+	waitFor(c, "all messages", func() bool { return p.b.Stats().Links["a"].Received[peer.KindCommand].Messages == messages })
+	waitFor(c, "a message of another kind", func() bool { return p.send("x") == nil })
+	c.Assert(p.receive(c), qt.Equals, "x")
+	dropped := p.b.Stats().Dropped[peer.KindCommand]
+	c.Assert(dropped, qt.Equals, int64(messages-(limit-1)/size))
+}
+
 // TestConfigurationPassesASaturatedLink checks that bulk traffic that saturates a link
 // does not delay a change of the configuration for long, nor break the connection.
 func TestConfigurationPassesASaturatedLink(t *testing.T) {
--- a/peer/subscription.go
+++ b/peer/subscription.go
@@ -20,17 +20,24 @@
 	in      *ring.Ring[*message.Message]
 	out     chan *message.Message
 	dropped atomic.Int64
+	// maxBytes bounds queuedBytes, the total size of the messages that are not acknowledged; 0 is no
+	// limit. A larger message is accepted if no other one is queued.
+	maxBytes    int64
+	queuedBytes atomic.Int64
 }
 
-func newSubscription() *subscription {
-	return &subscription{in: ring.New[*message.Message](subscriberQueueLength), out: make(chan *message.Message)}
+func newSubscription(maxBytes int64) *subscription {
+	return &subscription{in: ring.New[*message.Message](subscriberQueueLength), out: make(chan *message.Message), maxBytes: maxBytes}
 }
 
 func (s *subscription) enqueue(from string, f frame) {
 	m := message.NewMessage(watermill.NewULID(), f.Body)
 	m.Metadata.Set(metadataKind, string(f.Kind.kind()))
 	m.Metadata.Set(metadataFrom, from)
-	if s.in.TryPut(m) != nil {
+	size := int64(len(f.Body))
+	queued := s.queuedBytes.Add(size)
+	if s.maxBytes > 0 && queued > s.maxBytes && queued > size || s.in.TryPut(m) != nil {
+		s.queuedBytes.Add(-size)
 		s.dropped.Add(1)
 	}
 }
@@ -56,5 +63,6 @@
 		case <-m.Acked():
 		case <-m.Nacked():
 		}
+		s.queuedBytes.Add(-int64(len(m.Payload)))
 	}
 }
--- a/scheduler/call_test.go
+++ b/scheduler/call_test.go
@@ -63,3 +63,19 @@
 	}
 	qt.Assert(t, d.replies, qt.HasLen, 0)
 }
+
+// Load: many hosts forward the largest jobs while the event loop is behind. The queue has room for
+// 4,096 calls, which would then take more memory than a small host has.
+func TestQueuedJobsAreBoundedInBytes(t *testing.T) {
+	const limit = 1 << 20
+	c := qt.New(t)
+	counters := &scheduler.Counters{}
+	o := scheduler.New(scheduler.Options{MaxQueuedJobBytes: limit}, &ledger.Ledger{}, nil, nil, nil, &fakeMembers{}, counters, discardLog())
+	large := submission("a")
+	large.Job.Spec = string(make([]byte, workload.MaxSpecBytes))
+	for range 1000 {
+		o.HandleCall("h", large)
+	}
+	dropped := counters.EventsDropped.Load()
+	c.Assert(dropped > 700 && dropped < 800, qt.IsTrue, qt.Commentf("%d of 1000 calls dropped", dropped))
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -36,6 +36,9 @@
 	// UpkeepTime is how long the upkeep of a machine takes. TakeoverPause is how long
 	// after a takeover no upkeep order is sent.
 	UpkeepTime, TakeoverPause time.Duration
+	// MaxQueuedJobBytes bounds the jobs of calls that are queued for the event loop; 0 is no
+	// limit.
+	MaxQueuedJobBytes int64
 }
 
 // event is an input of the event loop.
@@ -105,6 +108,8 @@
 	supersededOnce sync.Once
 	// lastSchedule is the time of the last scheduling pass.
 	lastSchedule time.Duration
+	// queuedJobBytes is the memory of the jobs of queued calls.
+	queuedJobBytes atomic.Int64
 	// peakCallDelay is the longest time that a call has waited since the last
 	// PeakCallDelay call.
 	peakCallDelay atomic.Int64
@@ -174,8 +179,19 @@
 // a reply: it may repeat an earlier call that took effect, so that a refusal could be
 // wrong. The host sends it again.
 func (o *Owner) HandleCall(from string, c intake.Call) {
-	queuedAt := clock.Now()
-	o.tryEnqueue(func(now time.Duration) { o.handleCall(now, now-queuedAt, from, c) })
+	queuedAt, size := clock.Now(), c.Job.Bytes()
+	queued := o.queuedJobBytes.Add(size)
+	if limit := o.options.MaxQueuedJobBytes; limit > 0 && queued > limit && queued > size {
+		o.queuedJobBytes.Add(-size)
+		o.counters.EventsDropped.Add(1)
+		return
+	}
+	if !o.tryEnqueue(func(now time.Duration) {
+		o.queuedJobBytes.Add(-size)
+		o.handleCall(now, now-queuedAt, from, c)
+	}) {
+		o.queuedJobBytes.Add(-size)
+	}
 }
 
 // HandleAdvice processes an answer of the advice service, received through a host.
--- a/workload/job.go
+++ b/workload/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unsafe"
 
 	"github.com/juju/errors"
 
@@ -103,6 +104,15 @@
 	return size
 }
 
+// Bytes returns roughly how much memory a job takes.
+func (j Job) Bytes() int64 {
+	size := int(unsafe.Sizeof(j)) + len(j.ID) + len(j.Queue) + len(j.Spec)
+	for _, s := range j.Steps {
+		size += int(unsafe.Sizeof(s)) + len(s.After)*int(unsafe.Sizeof(0)) + len(s.Requires) + len(s.Affinity) + len(s.Image)
+	}
+	return int64(size)
+}
+
 // Validate returns the first fault of a job as an error.
 func (j Job) Validate() error {
 	if len(j.ID) != 16 {
