--- a/cell/limits_test.go
+++ b/cell/limits_test.go
@@ -12,7 +12,7 @@
 
 // setLimit puts a catalogue in force in which organisation "a" has a limit of processors.
 func (w *world) setLimit(version, processors int64) {
-	c := catalogue().WithOrganisations([]workload.Organisation{{Name: "a", Limit: task.Size{Processors: processors * task.Processor}}})
+	c := catalogue().WithOrganisations([]workload.Organisation{{Name: "a", Limit: task.Size{Processors: processors * task.Processor}}, {Name: "b"}})
 	c.Version = version
 	w.SetCatalogue(c)
 	w.step()
