budget: a request that is alone may exceed the limit

An operator may allow bodies that take more than an eighth of a host's memory when they are decoded, such as 2 MB on a host with 184 MB: such a body was refused even without any other request. A request beside which no other one holds memory is now served. Evidence: a test of it, and 5,000 runs of the property test, by which the total exceeds the limit only while one request holds all of it.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -21,7 +21,7 @@
 	minDroppedBytes = 8 << 10
 )
 
-// Budget bounds the total of its charges. The zero value has no limit. It is safe for concurrent
+// Budget bounds the total of its charges, unless there is only one. The zero value has no limit. It is safe for concurrent
 // use.
 type Budget struct {
 	mu sync.Mutex
@@ -176,18 +176,19 @@
 }
 
 // reserve adds to a charge. Under pressure it first drops the charges with the least progress,
-// which may include this one. The caller holds b.mu.
+// which may include this one. A request that is alone may exceed the limit, as the largest body
+// that the operator allows may need more. The caller holds b.mu.
 func (b *Budget) reserve(c *Charge, bytes int64) bool {
 	if c.state == dropped || c.state == closed {
 		return false
 	}
 	if b.limit > 0 {
-		for b.held-b.droppedHeld+bytes > int64(pressureShare*float64(b.limit)) && b.dropSlowest() {
+		for b.held-b.droppedHeld > c.held && b.isPressed(bytes) && b.dropSlowest() {
 			if c.state == dropped {
 				return false
 			}
 		}
-		if b.held+bytes > b.limit {
+		if b.held > c.held && b.held+bytes > b.limit {
 			b.refused++
 			return false
 		}
@@ -197,6 +198,12 @@
 	return true
 }
 
+// isPressed reports whether requests are to be dropped if some bytes are added. The caller holds
+// b.mu.
+func (b *Budget) isPressed(bytes int64) bool {
+	return float64(b.held-b.droppedHeld+bytes) > pressureShare*float64(b.limit)
+}
+
 // dropSlowest drops the charge with the least progress, and reports whether there was one. The
 // caller holds b.mu.
 func (b *Budget) dropSlowest() bool {
