--- a/scheduler/state_query.go
+++ b/scheduler/state_query.go
@@ -18,28 +18,25 @@
 // stateQueries holds the queries for the state of jobs that wait for the end of their job, so
 // that callers learn of it at once and not with their next query. The zero value is empty.
 type stateQueries struct {
-	byJob map[string][]intakeReply
+	byJob map[string][]func(intake.Reply)
 	// due lists the jobs with waiting queries by the time at which these are answered at the
 	// latest.
 	due   []dueQuery
 	count int
 }
 
-// intakeReply sends the reply to a call.
-type intakeReply func(intake.Reply)
-
 type dueQuery struct {
 	job string
 	at  time.Duration
 }
 
 // wait adds a query. It reports false if too many wait.
-func (q *stateQueries) wait(now time.Duration, job string, reply intakeReply) bool {
+func (q *stateQueries) wait(now time.Duration, job string, reply func(intake.Reply)) bool {
 	if q.count >= maxWaitingQueries {
 		return false
 	}
 	if q.byJob == nil {
-		q.byJob = map[string][]intakeReply{}
+		q.byJob = map[string][]func(intake.Reply){}
 	}
 	if len(q.byJob[job]) == 0 {
 		q.due = append(q.due, dueQuery{job: job, at: now + maxStateWait})
