--- a/forecast/model.go
+++ b/forecast/model.go
@@ -151,18 +151,6 @@
 	return max(0, seconds(math.Exp(median+residual))-max(elapsed, 0))
 }
 
-// Within returns the probability that a task with a declared estimate ends within a time. It
-// is 1 for a task without an estimate.
-func (m Model) Within(estimate, limit time.Duration) float64 {
-	switch {
-	case estimate <= 0:
-		return 1
-	case limit <= 0:
-		return 0
-	}
-	return 1 - m.Residuals.survival(math.Log(limit.Seconds())-m.logMedian(logSeconds(estimate)))
-}
-
 // Deviation returns the standard deviation of the logarithm of run times for an estimate.
 func (m Model) Deviation() float64 { return m.Residuals.deviation() }
 
