--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -61,15 +61,23 @@
 
 const chunkedHeader = "Transfer-Encoding: chunked"
 
-// attack makes clients connect and send at once, and leave their connections open. It returns
-// when all have sent what they send, or were cut off.
+// deadlineOfSends returns the time until which a client may send that begins now.
+func deadlineOfSends() time.Time { return time.Now().Add(waitTimeout / 2) }
+
+// attack makes clients connect to the address for callers and send at once, and leave their
+// connections open. It returns when all have sent what they send, or were cut off.
 func (h *host) attack(clients int, send func(connection net.Conn, client int) error) {
+	h.attackPort(callerPort, clients, send)
+}
+
+// attackPort is like attack for another port of the host.
+func (h *host) attackPort(port, clients int, send func(connection net.Conn, client int) error) {
 	var sent sync.WaitGroup
 	sent.Add(clients)
 	for i := range clients {
 		go func() {
 			defer sent.Done()
-			connection, err := net.Dial("tcp", h.address(callerPort))
+			connection, err := net.Dial("tcp", h.address(port))
 			if err != nil {
 				// The host may refuse the connection.
 				return
@@ -77,7 +85,7 @@
 			h.c.Cleanup(func() { _ = connection.Close() })
 			// The host may close the connection at any time. A client that is not read from must not
 			// hold up the test.
-			_ = connection.SetWriteDeadline(time.Now().Add(waitTimeout / 2))
+			_ = connection.SetWriteDeadline(deadlineOfSends())
 			_ = send(connection, i)
 		}()
 	}
@@ -96,17 +104,22 @@
 		if client >= completing {
 			rest = rest[:len(rest)-missingBytes]
 		}
-		size := len(rest)/pieces + 1
-		for len(rest) > 0 {
-			n := min(size, len(rest))
-			if _, err := connection.Write(rest[:n]); err != nil {
-				return err
-			}
-			rest = rest[n:]
-			time.Sleep(pause)
+		return sendPieces(connection, rest, pieces, pause)
+	}
+}
+
+// sendPieces sends text in pieces.
+func sendPieces(connection net.Conn, rest []byte, pieces int, pause time.Duration) error {
+	size := len(rest)/pieces + 1
+	for len(rest) > 0 {
+		n := min(size, len(rest))
+		if _, err := connection.Write(rest[:n]); err != nil {
+			return err
 		}
-		return nil
+		rest = rest[n:]
+		time.Sleep(pause)
 	}
+	return nil
 }
 
 // Guards against a process that runs out of memory because many clients send large bodies at
--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -67,6 +67,8 @@
 	ip      string
 	command *exec.Cmd
 	output  bytes.Buffer
+	// submission returns a request that submits an ordinary job.
+	submission func() (*http.Request, error)
 	// exited is closed when the process has ended.
 	exited chan struct{}
 
@@ -79,11 +81,24 @@
 // networks counts the hosts of this process; each has an address of its own.
 var networks int
 
-// startHost starts a host and its stand-ins, and waits until it answers callers.
-func startHost(t *testing.T) *host {
-	c := qt.New(t)
+// newHost returns a host that has not been started.
+func newHost(t *testing.T) *host {
 	networks++
-	h := &host{c: c, ip: fmt.Sprintf("127.%d.240.%d", 10+os.Getpid()%200, networks), exited: make(chan struct{})}
+	return &host{c: qt.New(t), ip: fmt.Sprintf("127.%d.240.%d", 10+os.Getpid()%200, networks), exited: make(chan struct{})}
+}
+
+// startHost starts a host on the users' platform with its stand-ins, and waits until it answers
+// callers.
+func startHost(t *testing.T) *host {
+	h := newHost(t)
+	c := h.c
+	h.submission = func() (*http.Request, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+h.address(callerPort)+jobPath(0), strings.NewReader(job))
+		if err == nil {
+			r.Host = virtualHost
+		}
+		return r, err
+	}
 	rows := platformstandin.NewRows()
 	catalogue, err := platformstandin.CatalogueDocument(1, virtualHost, []platformstandin.Queue{{Name: queue, Attempts: 3}})
 	c.Assert(err, qt.IsNil)
@@ -101,15 +116,21 @@
 	c.Assert(err, qt.IsNil)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	c.Assert(os.WriteFile(path, withLimits(c, settings), 0o600), qt.IsNil)
-	h.command = exec.Command(program, "front")
-	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	h.start(t, []string{platform.SettingsVariable + "=" + path}, "front")
+	return h
+}
+
+// start starts the program and waits until it answers callers.
+func (h *host) start(t *testing.T, environment []string, arguments ...string) {
+	h.command = exec.Command(program, arguments...)
+	h.command.Env = append(os.Environ(), environment...)
 	h.command.Stdout, h.command.Stderr = &h.output, &h.output
-	c.Assert(h.command.Start(), qt.IsNil)
+	h.c.Assert(h.command.Start(), qt.IsNil)
 	go func() {
 		_ = h.command.Wait()
 		close(h.exited)
 	}()
-	c.Cleanup(func() {
+	h.c.Cleanup(func() {
 		// The process may have ended already.
 		_ = h.command.Process.Kill()
 		<-h.exited
@@ -117,10 +138,9 @@
 			t.Logf("end of the log:\n%s", h.output.Bytes()[max(0, h.output.Len()-4000):])
 		}
 	})
-	h.submit(c)
-	c.Logf("peak memory before the attack %.1f MB", float64(h.peakMemory())/(1<<20))
+	h.submit(h.c)
+	h.c.Logf("peak memory before the attack %.1f MB", float64(h.peakMemory())/(1<<20))
 	go h.sample()
-	return h
 }
 
 func (h *host) address(port int) string { return net.JoinHostPort(h.ip, strconv.Itoa(port)) }
@@ -156,9 +176,8 @@
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	last := ""
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		request, err := http.NewRequest(http.MethodPost, "http://"+h.address(callerPort)+jobPath(0), strings.NewReader(job))
+		request, err := h.submission()
 		c.Assert(err, qt.IsNil)
-		request.Host = virtualHost
 		r, err := client.Do(request)
 		if err != nil {
 			last = err.Error()
@@ -200,20 +219,20 @@
 	return len(entries)
 }
 
-// unreadBytes returns the bytes in the receive buffers of the callers' connections, which the
-// kernel lists by local address as hexadecimal numbers in the order of this machine.
+// unreadBytes returns the bytes in the receive buffers of the connections to all ports of the host,
+// which the kernel lists by local address as hexadecimal numbers in the order of this machine.
 func (h *host) unreadBytes() int {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
 	ip := net.ParseIP(h.ip).To4()
-	local := fmt.Sprintf("%s:%04X", strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})), callerPort)
+	local := strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})) + ":"
 	const listening = "0A"
 	total := 0
 	for lines := bufio.NewScanner(bytes.NewReader(table)); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
+		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] == listening {
 			continue
 		}
 		_, queued, _ := strings.Cut(fields[4], ":")
