server, entry: vanillaquay serve bounds what its clients take

Callers saw a host that ran out of memory: on the crowd took 1,265 MB of 96 MB with bodies, 1,915 MB with headers and 441 MB with empty lines and trailers without end, 909 and 1,043 MB on the addresses for operators and peers, and 919 descriptors of 600 with connections to the latter.

Cause: entry left MaxHeaderBytes at 1 MB, gave its servers no budget, and bounded connections by Limits.Connections alone, which waits for room instead of making it.

The limits that front derives move to server.LimitsOf, and serve uses them on all three listeners, from the new settings Limits.Memory and Limits.Descriptors; by default the memory of the machine or its control group, and RLIMIT_NOFILE. The server now limits connections below TLS, keeps the ConnContext of its user, has a fixed time for a body as an option, and ends the time of a body when it has arrived, so that a handler that waits longer keeps its request.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -88,9 +88,12 @@
 	progress float64
 }
 
-// Open returns the charge of a new request. If the request is dropped, drop is called once, with
-// the budget locked: it must not block and must not use the budget.
+// Open returns the charge of a new request, or nil if there is no budget. If the request is dropped,
+// drop is called once, with the budget locked: it must not block and must not use the budget.
 func (b *Budget) Open(drop func()) *Charge {
+	if b == nil {
+		return nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := &Charge{budget: b, drop: drop}
--- a/cli/front.go
+++ b/cli/front.go
@@ -13,12 +13,9 @@
 	"github.com/vanillaquay/vanillaquay/front"
 	"github.com/vanillaquay/vanillaquay/lines"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/server"
 )
 
-// heapMemoryRatio is the ratio of the Go runtime's soft memory limit to the memory
-// limit of the process. Near the soft limit, garbage is collected more often.
-const heapMemoryRatio = 0.6
-
 // timestampFormat includes milliseconds, because decisions follow one another within
 // milliseconds.
 const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
@@ -45,7 +42,7 @@
 		return nil
 	}
 	runtime.GOMAXPROCS(1)
-	limitMemory(settings)
+	limitMemory(settings.MemoryLimit)
 	output := lines.New(os.Stdout)
 	defer output.Close()
 	logger := logrus.New()
@@ -59,9 +56,10 @@
 	return h.Run(ctx)
 }
 
-// limitMemory sets the soft memory limit of the Go runtime.
-func limitMemory(settings platform.Settings) {
-	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(heapMemoryRatio * float64(settings.MemoryLimit)))
+// limitMemory sets the soft memory limit of the Go runtime for a process with some memory, in
+// bytes; 0 is no limit.
+func limitMemory(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(server.HeapMemoryRatio * float64(memory)))
 	}
 }
--- a/cli/reload.go
+++ b/cli/reload.go
@@ -75,7 +75,7 @@
 			log.WithField("why", err.Error()).Warn("front: settings not read, keeping the previous ones")
 			continue
 		}
-		limitMemory(settings)
+		limitMemory(settings.MemoryLimit)
 		h.Reconfigure(ctx, settings)
 	}
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return codedError{exitUsage, err}
 	}
+	limitMemory(entry.MemoryLimit(s.Limits))
 	host, err := entry.New(c.Host, s, newLogger(s.Log))
 	if err != nil {
 		return err
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -32,7 +32,7 @@
 
 // entryLimits returns the limits in the settings of an entry host, as small as the tests need.
 func entryLimits() map[string]any {
-	return map[string]any{"Connections": 400, "OpenPerTeam": 400}
+	return map[string]any{"Memory": fmt.Sprintf("%dMiB", memoryMB), "Descriptors": maxDescriptors, "Connections": 400, "OpenPerTeam": 400}
 }
 
 // startEntry starts a host of the project's own deployments with its stand-ins, which is alone in
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"log"
 	"net"
 	"net/http"
@@ -11,9 +10,9 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/caller"
 	"github.com/vanillaquay/vanillaquay/certificate"
 	"github.com/vanillaquay/vanillaquay/operator"
@@ -43,25 +42,31 @@
 	handler := caller.Handler(caller.Options{
 		Settings: h.settings, Region: h.hostSettings.Region, Owners: h.calls, Stopping: h.stopping, Log: h.log,
 	})
+	limits := limitsOf(h.settings.Limits)
+	requests := budget.New(limits.RequestBytes)
 	all := &listeners{
-		callers:   h.newListener(handler),
-		operators: h.newListener(operator.Handler(h.settings, operators{h})),
-		peers:     h.newListener(peers),
+		callers:   h.newListener(handler, limits.Callers, requests),
+		operators: h.newListener(operator.Handler(h.settings, operators{h}), server.MaxProbeConnections, requests),
+		peers:     h.newListener(peers, limits.Links, nil),
 	}
 	all.callers.detectsHangUp = true
-	limits, certificates := h.settings.Limits, h.settings.TLS
+	certificates := h.settings.TLS
 	for _, bind := range []struct {
 		to          *listener
 		name        string
 		address     string
-		connections int
+		listen      func(address string) (net.Listener, error)
 		certificate *settings.Certificate
 	}{
-		{&all.callers, "callers", h.hostSettings.Callers, limits.Connections, certificates.Callers},
-		{&all.operators, "operators", h.hostSettings.Operators, limits.Connections, certificates.Operators},
-		{&all.peers, "peers", h.hostSettings.Peers, 0, certificates.Peers},
+		{&all.callers, "callers", h.hostSettings.Callers, server.Listen, certificates.Callers},
+		{&all.operators, "operators", h.hostSettings.Operators, server.Listen, certificates.Operators},
+		{&all.peers, "peers", h.hostSettings.Peers, listenForPeers, certificates.Peers},
 	} {
-		if err := h.bind(bind.to, bind.address, bind.connections, bind.certificate); err != nil {
+		opened, err := bind.listen(bind.address)
+		if err == nil {
+			err = h.bind(bind.to, opened, bind.certificate)
+		}
+		if err != nil {
 			all.close()
 			return nil, errors.Annotatef(err, "listen for %s", bind.name)
 		}
@@ -69,14 +74,22 @@
 	return all, nil
 }
 
-func (h *Host) newListener(handler http.Handler) listener {
+// listenForPeers opens an address for links, which need the large receive buffers of the system.
+func listenForPeers(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// newListener returns a listener for a number of connections, whose requests hold memory of a
+// budget; nil is no limit.
+func (h *Host) newListener(handler http.Handler, connections int, memory *budget.Budget) listener {
 	limits := h.settings.Limits
-	return listener{server: &server.Server{Server: http.Server{
+	s := &server.Server{Memory: memory, BodyTimeout: time.Duration(limits.BodyTimeout), Server: http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
+		MaxHeaderBytes:    server.MaxHeaderBytes,
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
 		ErrorLog:          log.New(httpLog{h.log}, "", 0),
-	}}}
+	}}
+	s.LimitConnections(connections)
+	return listener{server: s}
 }
 
 // httpLog logs what net/http reports about bad connections.
@@ -88,20 +101,13 @@
 	return len(line), nil
 }
 
-// bind opens an address for at most the given number of connections; 0 means no limit.
-func (h *Host) bind(l *listener, address string, connections int, files *settings.Certificate) error {
-	opened, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Trace(err)
-	}
+// bind makes a listener serve what an address accepts.
+func (h *Host) bind(l *listener, opened net.Listener, files *settings.Certificate) error {
 	l.bound = opened
 	if l.detectsHangUp {
 		callers := newCallerListener(opened)
 		l.bound, l.server.ConnContext = callers, callers.context
 	}
-	if connections > 0 {
-		l.bound = netutil.LimitListener(l.bound, connections)
-	}
 	if files == nil {
 		return nil
 	}
@@ -109,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	l.bound = tls.NewListener(l.bound, store.TLSConfig())
+	l.server.TLSConfig = store.TLSConfig()
 	return nil
 }
 
--- a/front/export_test.go
+++ b/front/export_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/server"
 )
 
 // ListMembers returns the names of the members after the rows were read as one list, and
@@ -19,9 +20,6 @@
 	return all.names(), slices.Clone(each.names())
 }
 
-// OtherDescriptors is the number of descriptors that are kept for files and probes.
-const OtherDescriptors = otherDescriptors
-
 // Limits are the limits of a process. ConnectionBytes is the memory of all connections of callers.
 type Limits struct {
 	Callers, Links, ConnectionBytes int
@@ -31,5 +29,5 @@
 // LimitsOf returns the limits that follow from settings.
 func LimitsOf(s platform.Settings) Limits {
 	l := limitsOf(s)
-	return Limits{Callers: l.callers, Links: l.links, ConnectionBytes: l.callers * connectionBytes, RequestBytes: l.requestBytes}
+	return Limits{Callers: l.Callers, Links: l.Links, ConnectionBytes: l.Callers * server.ConnectionBytes, RequestBytes: l.RequestBytes}
 }
--- a/front/limits_test.go
+++ b/front/limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillaquay/vanillaquay/front"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/server"
 )
 
 // Guards against limits that leave too little of a host's memory and descriptors for its own work,
@@ -27,7 +28,7 @@
 			// Live memory takes up to twice its size until garbage is collected. The process needs some
 			// 50 MB for itself.
 			c.Check(l.ConnectionBytes+2*int(l.RequestBytes) <= memory/2, qt.IsTrue)
-			c.Check(l.Callers+l.Links+front.OtherDescriptors <= descriptors*9/10, qt.IsTrue)
+			c.Check(l.Callers+l.Links+server.OtherDescriptors <= descriptors*9/10, qt.IsTrue)
 			c.Check(l.Callers >= 100 && l.RequestBytes >= 10*mib, qt.IsTrue)
 		})
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -30,13 +30,11 @@
 	// readyGrace is how long a host that cannot reach an owner stays ready; a takeover
 	// takes some 2 s.
 	readyGrace = 4 * time.Second
-	// headerTimeout bounds the time to read the header of a request, maxHeaderBytes its size
-	// (package http adds 4,096 bytes), and idleTimeout the time between two requests on a
-	// connection. Callers send headers of 16,384 bytes at most within 3 s, and leave a connection
-	// idle for 15 s at most.
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 16 << 10
-	idleTimeout    = 20 * time.Second
+	// headerTimeout bounds the time to read the header of a request, and idleTimeout the time
+	// between two requests on a connection. Callers send a header within 3 s, and leave a
+	// connection idle for 15 s at most.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 20 * time.Second
 	// unreadTimeout bounds the time for a request whose body is not read, such as one without a
 	// queue. Bodies that are read have a limit of their own.
 	unreadTimeout = 10 * time.Second
@@ -65,8 +63,8 @@
 	debug.Post(ExplainPath, h.serveExplain)
 	s := servers{callers: newServer(h.ingress), probes: newServer(ready), links: newServer(links), metrics: newServer(debug)}
 	s.callers.Memory = h.requestMemory
-	s.probes.LimitConnections(maxProbeConnections)
-	s.metrics.LimitConnections(maxProbeConnections)
+	s.probes.LimitConnections(server.MaxProbeConnections)
+	s.metrics.LimitConnections(server.MaxProbeConnections)
 	return s
 }
 
@@ -98,7 +96,7 @@
 // newServer returns a server for a handler.
 func newServer(handler http.Handler) *server.Server {
 	return &server.Server{Server: http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: server.MaxHeaderBytes,
 		ReadTimeout: unreadTimeout, IdleTimeout: idleTimeout,
 	}}
 }
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -270,7 +270,7 @@
 	h.takeovers.Add(1)
 	o := scheduler.New(scheduler.Options{
 		Cell: cellName, CellOptions: cellOptions(s), StatusRetention: s.StatusKept, EarlierOwnerTimeout: tenure.OwnerTimeout,
-		Holder: s.Host, UpkeepTime: s.UpkeepTime, TakeoverPause: s.TurnPause, MaxQueuedJobBytes: limitsOf(s).queuedBytes,
+		Holder: s.Host, UpkeepTime: s.UpkeepTime, TakeoverPause: s.TurnPause, MaxQueuedJobBytes: limitsOf(s).QueuedBytes,
 	}, l, h.store, h.relay, h.machines.Load(), h, &h.counters, h.log)
 	h.mu.Lock()
 	h.owner = o
--- a/server/body.go
+++ b/server/body.go
@@ -17,9 +17,6 @@
 	// for 3 s at most.
 	bodyGrace   = 3 * time.Second
 	minBodyRate = 64 << 10
-	// bodyByteCost is the memory that a byte of a body takes while it arrives: a buffer that grows
-	// has up to twice the size of what it holds.
-	bodyByteCost = 2
 	// readPause is the time between two reads of a body of more than pacedBytes while much of the
 	// memory for requests is held, so that processor time is left for others: a body then arrives at
 	// up to 480 KiB/s. Without it, while 2,000 clients sent large bodies in chunks of 4 bytes, again
@@ -48,13 +45,12 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	allowed := bodyGrace + time.Duration(b.received)*time.Second/minBodyRate
-	if err := b.connection.SetReadDeadline(b.begun.Add(allowed)); err != nil {
+	if err := b.connection.SetReadDeadline(b.begun.Add(b.allowed())); err != nil {
 		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.received += int64(n)
-	if n > 0 && !b.charge.Receive(clock.Now(), bodyByteCost*int64(n)) {
+	if n > 0 && !b.charge.Receive(clock.Now(), budget.ReadCost*int64(n)) {
 		b.connection.abort()
 		return 0, ErrDropped
 	}
@@ -63,6 +59,10 @@
 		if !b.charge.Complete() || !b.connection.changePhase(handling) {
 			return 0, ErrDropped
 		}
+		// The handler may take longer than the body.
+		if err := b.connection.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
 	case err == nil && b.received >= pacedBytes && b.charge.IsBusy():
 		b.connection.pause()
 	case err != nil && b.connection.isAborted():
@@ -76,6 +76,14 @@
 	return n, err
 }
 
+// allowed returns the time that the body may have taken by now.
+func (b *body) allowed() time.Duration {
+	if timeout := b.connection.server.BodyTimeout; timeout > 0 {
+		return timeout
+	}
+	return bodyGrace + time.Duration(b.received)*time.Second/minBodyRate
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
--- a/server/connection.go
+++ b/server/connection.go
@@ -110,7 +110,7 @@
 	c.mu.Lock()
 	charge := c.charge
 	c.mu.Unlock()
-	if charge != nil || c.server.Memory == nil {
+	if charge != nil {
 		return charge
 	}
 	charge = c.server.Memory.Open(c.abort)
@@ -270,6 +270,9 @@
 	phase, since := c.phase, c.since
 	c.mu.Unlock()
 	allowed := bodyGrace
+	if c.server.BodyTimeout > 0 {
+		allowed = c.server.BodyTimeout
+	}
 	switch phase {
 	case handling, hijacked, evicted:
 		return 0, false
--- a/server/limit.go
+++ b/server/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -143,9 +144,28 @@
 	return len(s.open)
 }
 
-// withConnection returns the context of the requests of a connection.
-func withConnection(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, c)
+// withConnection returns a function that returns the context of the requests of a connection. It is
+// derived from what next returns, unless next is nil.
+func withConnection(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, c net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, c)
+		}
+		limited, ok := connectionOf(c)
+		if !ok {
+			return ctx
+		}
+		return context.WithValue(ctx, connectionKey{}, limited)
+	}
+}
+
+// connectionOf returns the limited connection that carries a connection of package http.
+func connectionOf(c net.Conn) (*connection, bool) {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	limited, ok := c.(*connection)
+	return limited, ok
 }
 
 // limitRequests charges the requests of a handler to the budget of the server. Their contexts have
@@ -166,7 +186,13 @@
 		}
 		r = r.WithContext(budget.NewContext(r.Context(), charge))
 		if hasBody {
-			r.Body = &body{ReadCloser: r.Body, connection: c, charge: charge, begun: time.Now()}
+			b := &body{ReadCloser: r.Body, connection: c, charge: charge, begun: time.Now()}
+			if s.BodyTimeout > 0 {
+				// A body that the handler does not read is discarded, for which package http sets no
+				// deadline. An error means that the connection is closed.
+				_ = c.SetReadDeadline(b.begun.Add(s.BodyTimeout))
+			}
+			r.Body = b
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/server/server.go
+++ b/server/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -33,6 +34,9 @@
 	// Memory bounds what the requests of all clients hold while they arrive and are handled. It
 	// must not change after Serve; nil is no limit.
 	Memory *budget.Budget
+	// BodyTimeout bounds the time for a body to arrive. It must not change after Serve; 0 is 3 s, and
+	// the time at 64 KiB/s for a larger body.
+	BodyTimeout time.Duration
 	// Counters counts what exceeded the limits.
 	Counters Counters
 
@@ -50,7 +54,8 @@
 	active map[net.Conn]bool
 }
 
-// Serve accepts requests until Drain or Close. It sets the server's ConnState.
+// Serve accepts requests until Drain or Close, over TLS if TLSConfig is set. It sets the server's
+// ConnState. The listener must not be one of TLS: limits apply to what clients send.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener, s.openedAt, s.active = l, map[net.Conn]time.Time{}, map[net.Conn]bool{}
@@ -59,9 +64,12 @@
 	s.mu.Unlock()
 	s.ConnState = s.trackState
 	if limited {
-		s.ConnContext, s.Handler = withConnection, s.limitRequests(s.Handler)
+		s.ConnContext, s.Handler = withConnection(s.ConnContext), s.limitRequests(s.Handler)
 		l = limitedListener{Listener: l, server: s}
 	}
+	if s.TLSConfig != nil {
+		l = tls.NewListener(l, s.TLSConfig)
+	}
 	if err := s.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Trace(err)
 	}
@@ -70,7 +78,7 @@
 
 // trackState records the state of a connection.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
-	if limited, ok := c.(*connection); ok {
+	if limited, ok := connectionOf(c); ok {
 		switch state {
 		case http.StateIdle:
 			limited.changePhase(idle)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,7 +72,13 @@
 	Wait quantity.Duration
 	// Stop is the maximum time that a graceful stop waits for requests in flight.
 	Stop quantity.Duration
-	// Connections is the maximum number of open connections of callers.
+	// Memory is the memory that the process may take; 0 is that of the machine.
+	Memory quantity.Bytes
+	// Descriptors is the number of files and connections that the process may have open; 0 is what
+	// the system allows it.
+	Descriptors int
+	// Connections is the maximum number of open connections of callers. Memory and Descriptors may
+	// allow fewer.
 	Connections int
 	// OpenPerTeam is the maximum number of requests of one team in flight.
 	OpenPerTeam int
