--- a/caller/answer.go
+++ b/caller/answer.go
@@ -19,6 +19,7 @@
 	CodeBodyTimeout     = "BodyTimeout"
 	CodeBadWork         = "BadWork"
 	CodeTooManyRequests = "TooManyRequests"
+	CodeHostOverloaded  = "HostOverloaded"
 	CodeNoAnswer        = "NoAnswer"
 )
 
