operator: documents are charged to the memory of requests

Operators that sent configurations of 1 MiB took a host out of its memory: 485 MB of 96 MB with 600 that stop short of their end, 624 MB with 100 lists of empty names, which take 32 times their size when they are decoded and compared.

Cause: io.ReadAll without a budget. Documents are now charged as they arrive and by what they take when decoded; without memory the answer is HostOverloaded (503, Retry-After 1), and nothing has changed.

--- a/operator/answer.go
+++ b/operator/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"unicode"
@@ -10,10 +9,17 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/chart"
 	"github.com/vanillaquay/vanillaquay/configuration"
+	"github.com/vanillaquay/vanillaquay/server"
 )
 
+// documentCostRatio is the memory that a document takes until it is answered, as a multiple of its
+// size: decoded, compared with the stored one and encoded. Lists of empty names take 6 bytes for
+// each byte of text, and twice that while they grow.
+const documentCostRatio = 32
+
 // Result is the answer to an accepted change of the configuration.
 type Result struct {
 	// State is Accepted or InForce, as in the chart Configuration.
@@ -80,9 +86,17 @@
 		writeTooLarge(w)
 		return nil, false
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configuration.MaxSize))
+	data, err := budget.ReadAll(http.MaxBytesReader(w, r.Body, configuration.MaxSize))
+	if err == nil && !budget.FromContext(r.Context()).Reserve(documentCostRatio*int64(len(data))) {
+		err = server.ErrDropped
+	}
 	var tooLargeError *http.MaxBytesError
 	switch {
+	case errors.Is(err, server.ErrDropped):
+		w.Header().Set("Retry-After", "1")
+		writeJSON(w, http.StatusServiceUnavailable, Failure{Code: "HostOverloaded", Reason: "The entry host has no memory for the request now."})
+	case errors.Is(err, server.ErrTooSlow):
+		writeJSON(w, http.StatusRequestTimeout, Failure{Code: "BodyTimeout", Reason: "The body arrived too slowly."})
 	case errors.As(err, &tooLargeError):
 		writeTooLarge(w)
 	case err != nil:
