peer: messages that arrive are charged to one budget of the process

An owner ran out of memory when many hosts sent large messages at once, each within the limits of its own link: 60 links with messages of 4 MiB, most of which stop 10 bytes short, took 331 MB of 96 MB in vanillaquay front and 611 MB in vanillaquay serve.

Cause: each link read up to 32 MiB into memory of its own by io.ReadAll, and serve had no bound on the messages that wait for their subscriber.

Messages are now charged as they arrive to an eighth of the memory, with the same package as bodies of callers: the one that makes the least progress is dropped and its link closed, which its sender opens again; what was lost is sent again as after any lost link. One message has a sixteenth of the memory, 32 MiB at most. Waiting messages count 512 bytes beside their body.

--- a/entry/host.go
+++ b/entry/host.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/configuration"
 	"github.com/vanillaquay/vanillaquay/member"
 	"github.com/vanillaquay/vanillaquay/partition"
@@ -79,6 +80,8 @@
 		ID: name, Instance: uuid.NewString(), Address: hostSettings.PeerAddress(), Region: hostSettings.Region, Zone: hostSettings.Zone,
 	})
 	h.hub = peer.NewHub(name, h.peerAddress)
+	limits := limitsOf(s.Limits)
+	h.hub.MaxQueuedBytes, h.hub.MaxMessageBytes, h.hub.Memory = limits.QueuedBytes, limits.MessageBytes, budget.New(limits.LinkBytes)
 	if files := s.TLS.Peers; files != nil {
 		store, err := h.openCertificate(*files)
 		if err != nil {
--- a/front/host.go
+++ b/front/host.go
@@ -109,7 +109,8 @@
 	h.members = members{byName: map[string]member{}, onChange: h.updateLinks}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
 	h.hub.OnConnect = h.forwardCachedAdvice
-	h.hub.MaxQueuedBytes = limitsOf(settings).QueuedBytes
+	limits := limitsOf(settings)
+	h.hub.MaxQueuedBytes, h.hub.MaxMessageBytes, h.hub.Memory = limits.QueuedBytes, limits.MessageBytes, budget.New(limits.LinkBytes)
 	h.relay = carrier.NewRelay(h.workerClient, h, log)
 	h.carrier = carrier.NewCarrier(h.workerClient, h.fence, h.sendWorkerAnswers)
 	h.forwarder = intake.NewForwarder(h, log)
--- a/front/limits.go
+++ b/front/limits.go
@@ -36,6 +36,7 @@
 func (h *Host) applyLimits() {
 	l := limitsOf(h.settings())
 	h.requestMemory.SetLimit(l.RequestBytes)
+	h.hub.Memory.SetLimit(l.LinkBytes)
 	h.servers.callers.LimitConnections(l.Callers)
 	h.servers.links.LimitConnections(l.Links)
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/juju/errors"
 
+	"github.com/vanillaquay/vanillaquay/budget"
 	"github.com/vanillaquay/vanillaquay/codec"
 )
 
@@ -47,7 +49,16 @@
 	// bytes; 0 is no limit. It must not change once there is a subscriber.
 	MaxQueuedBytes int64
 
+	// Memory bounds the messages that arrive, of all members together; nil is no limit. A connection
+	// whose message finds no room is closed. It must not change once there is a connection.
+	Memory *budget.Budget
+
+	// MaxMessageBytes bounds one message, in bytes; 0 is 32 MiB. It must not change once there is a
+	// connection.
+	MaxMessageBytes int64
+
 	self       string
+	begun      time.Time
 	resolve    Resolver
 	ctx        context.Context
 	stop       context.CancelFunc
@@ -72,7 +83,7 @@
 func NewHub(self string, resolve Resolver) *Hub {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Hub{
-		self: self, resolve: resolve, ctx: ctx, stop: stop, traffic: traffic{self: self},
+		self: self, begun: time.Now(), resolve: resolve, ctx: ctx, stop: stop, traffic: traffic{self: self},
 		links: map[string]*link{}, inbounds: map[string]*inbound{}, acceptedCounts: map[string]uint64{}, subscribers: map[Kind]*subscription{},
 	}
 }
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -1,16 +1,25 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/juju/errors"
+
+	"github.com/vanillaquay/vanillaquay/budget"
+)
+
+const (
+	// defaultMessageBytes is the default of Hub.MaxMessageBytes.
+	defaultMessageBytes = 32 << 20
 )
 
-// maxMessageBytes is the maximum size of a received WebSocket message.
-const maxMessageBytes = 32 << 20
+// errDropped means that a message was dropped for want of memory.
+const errDropped = errors.ConstError("message dropped for want of memory")
 
 // inbound is the connection that another member has opened to this one.
 type inbound struct {
@@ -44,13 +53,13 @@
 		return
 	}
 	defer connection.CloseNow()
-	connection.SetReadLimit(maxMessageBytes)
+	connection.SetReadLimit(cmp.Or(h.MaxMessageBytes, defaultMessageBytes))
 	release := h.replaceInbound(member, cancel)
 	defer release()
 	if h.OnAccept != nil {
 		h.OnAccept(member)
 	}
-	h.read(ctx, connection, member, silenceTimer)
+	h.read(ctx, cancel, connection, member, silenceTimer)
 }
 
 // replaceInbound closes the earlier connection of a member and returns a function
@@ -77,33 +86,53 @@
 	}
 }
 
-// read delivers messages from a connection until it fails or times out.
-func (h *Hub) read(ctx context.Context, connection *websocket.Conn, member string, silenceTimer *time.Timer) {
+// read delivers messages from a connection until it fails or times out, or a message is dropped.
+func (h *Hub) read(ctx context.Context, cancel context.CancelFunc, connection *websocket.Conn, member string, silenceTimer *time.Timer) {
 	for {
 		_, reader, err := connection.Reader(ctx)
 		if err != nil {
 			return
 		}
-		data, err := io.ReadAll(&progressReader{reader: reader, silenceTimer: silenceTimer})
-		if err != nil || ctx.Err() != nil {
+		if err := h.receive(ctx, cancel, member, &progressReader{reader: reader, silenceTimer: silenceTimer, begun: h.begun}); err != nil {
 			return
 		}
-		frames, err := decodeFrames(data)
-		if err != nil {
-			return
-		}
-		h.traffic.countReceived(member, frames, len(data))
-		for _, f := range frames {
-			h.dispatch(member, f)
-		}
 	}
 }
 
-// progressReader resets the silence timer for every part of a message, so that a
-// large message over a slow link counts as progress.
+// receive delivers one WebSocket message, which is charged until its frames are queued.
+func (h *Hub) receive(ctx context.Context, cancel context.CancelFunc, member string, reader *progressReader) error {
+	reader.charge = h.Memory.Open(cancel)
+	defer reader.charge.Close()
+	data, err := budget.ReadAll(reader)
+	if err != nil {
+		return err
+	}
+	// The bodies of the frames are copies.
+	if !reader.charge.Complete() || !reader.charge.Reserve(int64(len(data))) {
+		return errDropped
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	frames, err := decodeFrames(data)
+	if err != nil {
+		return err
+	}
+	h.traffic.countReceived(member, frames, len(data))
+	for _, f := range frames {
+		h.dispatch(member, f)
+	}
+	return nil
+}
+
+// progressReader reads a message. It resets the silence timer for every part of it, so that a large
+// message over a slow link counts as progress, and charges what it reads.
 type progressReader struct {
 	reader       io.Reader
 	silenceTimer *time.Timer
+	charge       *budget.Charge
+	// begun is when the hub was made, to which the times of the charge refer.
+	begun time.Time
 }
 
 // Read implements io.Reader.
@@ -111,6 +140,9 @@
 	n, err := r.reader.Read(p)
 	if n > 0 {
 		r.silenceTimer.Reset(SilenceTimeout)
+		if !r.charge.Receive(time.Since(r.begun), budget.ReadCost*int64(n)) {
+			return n, errDropped
+		}
 	}
 	return n, err
 }
--- a/peer/subscription.go
+++ b/peer/subscription.go
@@ -10,8 +10,13 @@
 	"github.com/vanillaquay/vanillaquay/ring"
 )
 
-// subscriberQueueLength is the maximum number of queued received messages per kind.
-const subscriberQueueLength = 8192
+const (
+	// subscriberQueueLength is the maximum number of queued received messages per kind.
+	subscriberQueueLength = 8192
+	// messageOverhead is the memory that a queued message takes beside its body, in bytes: its ID, its
+	// metadata and its context.
+	messageOverhead = 512
+)
 
 // subscription delivers the messages of one kind to its subscriber in order, each
 // after the previous one is acknowledged. A message that finds the queue full is
@@ -34,7 +39,7 @@
 	m := message.NewMessage(watermill.NewULID(), f.Body)
 	m.Metadata.Set(metadataKind, string(f.Kind.kind()))
 	m.Metadata.Set(metadataFrom, from)
-	size := int64(len(f.Body))
+	size := messageBytes(m)
 	queued := s.queuedBytes.Add(size)
 	if s.maxBytes > 0 && queued > s.maxBytes && queued > size || s.in.TryPut(m) != nil {
 		s.queuedBytes.Add(-size)
@@ -42,6 +47,9 @@
 	}
 }
 
+// messageBytes returns the memory that a queued message takes, in bytes.
+func messageBytes(m *message.Message) int64 { return messageOverhead + int64(len(m.Payload)) }
+
 // run delivers messages until the context ends.
 func (s *subscription) run(ctx context.Context) {
 	defer close(s.out)
@@ -63,6 +71,6 @@
 		case <-m.Acked():
 		case <-m.Nacked():
 		}
-		s.queuedBytes.Add(-int64(len(m.Payload)))
+		s.queuedBytes.Add(-messageBytes(m))
 	}
 }
--- a/server/limits.go
+++ b/server/limits.go
@@ -25,6 +25,11 @@
 	// take until they are handled, and that jobs may take which wait for the event loop of the owner.
 	// 300 hosts with callers that send the largest jobs would fill any owner's memory.
 	queueMemoryShare = 0.0625
+	// linkMemoryShare is the share of the memory that messages from other hosts may take while they
+	// arrive, and messageMemoryShare that of one of them, up to maxMessageBytes. Hosts send messages
+	// of 128 KiB, and larger ones only for a single value, such as the list of a worker's runs.
+	linkMemoryShare, messageMemoryShare = 0.125, 0.0625
+	maxMessageBytes                     = 32 << 20
 )
 
 const (
@@ -43,6 +48,9 @@
 	// QueuedBytes bounds messages of a kind that wait, and jobs that wait for the event loop, in
 	// bytes.
 	QueuedBytes int64
+	// LinkBytes bounds the messages from other hosts that arrive, and MessageBytes one of them, in
+	// bytes.
+	LinkBytes, MessageBytes int64
 	// Callers and Links bound the connections of callers and the links from other hosts.
 	Callers, Links int
 }
@@ -53,6 +61,8 @@
 	return Limits{
 		RequestBytes: int64(requestMemoryShare * float64(memory)),
 		QueuedBytes:  int64(queueMemoryShare * float64(memory)),
+		LinkBytes:    int64(linkMemoryShare * float64(memory)),
+		MessageBytes: int64(min(maxMessageBytes, messageMemoryShare*float64(memory))),
 		Callers:      max(1, int(min(callerShare*sockets, connectionMemoryShare*float64(memory)/ConnectionBytes))),
 		Links:        max(1, int(linkShare*sockets)),
 	}
