peer: names under which links were opened are forgotten

A host remembered each name under which a link was ever opened: clients at the port for links that come back under new names of 15,000 bytes took 131 MB of 96 MB in vanillaquay front and 1,132 MB in vanillaquay serve (48,000 connections).

Cause: Hub.acceptedCounts and the counts of traffic had an entry for each name, of any length. A name has 256 bytes at most now, and the counts of members without a link are dropped beyond 4,096. The number that AcceptedCount returns rises over all members, so that a forgotten member never gets a number again that it had before.

Guarded by TestStrangersAreForgotten.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -68,7 +68,9 @@
 	mu       sync.Mutex
 	links    map[string]*link
 	inbounds map[string]*inbound
-	// acceptedCounts is the number of connections that each member has opened.
+	// accepted is the number of connections that members have opened, and acceptedCounts what it was
+	// with the last one of each member.
+	accepted       uint64
 	acceptedCounts map[string]uint64
 	subscribers    map[Kind]*subscription
 	closed         bool
@@ -171,8 +173,9 @@
 	return h.inbounds[member] != nil
 }
 
-// AcceptedCount returns how many connections a member has opened to this one. If it
-// has risen, messages sent over earlier connections may be lost.
+// AcceptedCount returns a number that rises with each connection that a member opens to this one. If
+// it has changed, messages sent over earlier connections may be lost. It is 0 if there was none, or
+// if the member has had no connection for so long that it was forgotten.
 func (h *Hub) AcceptedCount(member string) uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -16,6 +17,10 @@
 const (
 	// defaultMessageBytes is the default of Hub.MaxMessageBytes.
 	defaultMessageBytes = 32 << 20
+	// maxNameBytes bounds the name of a member.
+	maxNameBytes = 256
+	// maxRememberedMembers bounds the members without a connection of which a hub keeps counts.
+	maxRememberedMembers = 4096
 )
 
 // errDropped means that a message was dropped for want of memory.
@@ -30,8 +35,8 @@
 // ServeHTTP accepts a connection from another member.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	member := r.Header.Get(MemberHeader)
-	if member == "" {
-		http.Error(w, "header "+MemberHeader+" is missing", http.StatusBadRequest)
+	if member == "" || len(member) > maxNameBytes {
+		http.Error(w, "header "+MemberHeader+" is missing or too long", http.StatusBadRequest)
 		return
 	}
 	if !h.tryAdd() {
@@ -70,7 +75,9 @@
 	h.mu.Lock()
 	earlier := h.inbounds[member]
 	h.inbounds[member] = current
-	h.acceptedCounts[member]++
+	h.accepted++
+	h.acceptedCounts[member] = h.accepted
+	h.forgetStrangers()
 	h.mu.Unlock()
 	if earlier != nil {
 		earlier.cancel()
@@ -86,6 +93,17 @@
 	}
 }
 
+// forgetStrangers removes the counts of members without a connection, if there are too many: any
+// client can open connections under ever new names. The caller holds h.mu.
+func (h *Hub) forgetStrangers() {
+	if len(h.acceptedCounts) <= maxRememberedMembers+len(h.inbounds) {
+		return
+	}
+	isStranger := func(member string) bool { return h.inbounds[member] == nil && h.links[member] == nil }
+	maps.DeleteFunc(h.acceptedCounts, func(member string, _ uint64) bool { return isStranger(member) })
+	h.traffic.forget(isStranger)
+}
+
 // read delivers messages from a connection until it fails or times out, or a message is dropped.
 func (h *Hub) read(ctx context.Context, cancel context.CancelFunc, connection *websocket.Conn, member string, silenceTimer *time.Timer) {
 	for {
--- a/peer/memory_test.go
+++ b/peer/memory_test.go
@@ -62,3 +62,24 @@
 	m.Ack()
 	c.Assert([]byte(m.Payload), qt.DeepEquals, body)
 }
+
+// Guards against counts that are kept for each name under which a client ever connected, and
+// against a count that repeats after the member was forgotten.
+func TestStrangersAreForgotten(t *testing.T) {
+	const strangers = 5000
+	c := qt.New(t)
+	hub, url := startHub(c, func(*peer.Hub) {})
+	dialAs(c, url, "known").CloseNow()
+	waitFor(c, "a count", func() bool { return hub.AcceptedCount("known") > 0 })
+	before := hub.AcceptedCount("known")
+	for i := range strangers {
+		_ = dialAs(c, url, fmt.Sprintf("stranger-%d", i)).CloseNow()
+	}
+	c.Check(hub.AcceptedCount("known"), qt.Equals, uint64(0))
+	connection := dialAs(c, url, "known")
+	waitFor(c, "another count", func() bool { return hub.AcceptedCount("known") > before })
+	c.Assert(connection.CloseNow(), qt.IsNil)
+	_, response, err := websocket.Dial(context.Background(), url, &websocket.DialOptions{HTTPHeader: http.Header{peer.MemberHeader: {strings.Repeat("x", 300)}}})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadRequest)
+}
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -74,6 +74,13 @@
 	t.countRegions(member, t.self, len(frames), bytes)
 }
 
+// forget removes the counts of some members.
+func (t *traffic) forget(isForgotten func(member string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.links, func(member string, _ LinkStats) bool { return isForgotten(member) })
+}
+
 func (t *traffic) countRefused(member string, k Kind) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
