scheduler, front: the jobs of a cell fit into its smallest host

An owner accepted every legal job: 64 clients that submit 12,800 jobs of 100 tasks, each after the answer to the one before, got 12,800 acceptances, and the process took 241 MB of 96 MB. A smaller host that takes the cell over has to hold them too.

Cause: nothing bounded what is accepted. Package backlog, which needs no network, bounds the memory of the jobs by a quarter of that of the smallest member, which hosts now state in their rows; one that does not counts as one with 184 MB. A job that was accepted before stays accepted, also on a host with less memory.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -32,8 +32,10 @@
 	queues map[string]workload.Queue
 	// jobs holds all jobs that are not final, and final jobs with open runs: these still use
 	// capacity, which the next owner must know.
-	jobs    map[string]*job
-	workers map[string]*worker
+	jobs map[string]*job
+	// jobBytes is the memory of all jobs, in bytes.
+	jobBytes int64
+	workers  map[string]*worker
 	// sortedWorkers lists the workers in order of ID, so that decisions are deterministic.
 	sortedWorkers []*worker
 	// fleetVersion increases whenever a worker is added or removed or changes its address.
@@ -116,7 +118,7 @@
 		changes = append(changes, Change{Job: j.Job, New: !j.recorded, Progress: j.progress()})
 		j.recorded, j.isChanged = true, false
 		if j.state.Final() && len(j.openRuns()) == 0 {
-			delete(c.jobs, j.ID)
+			c.removeJob(j)
 		}
 	}
 	c.changedJobs = nil
--- a/cell/job.go
+++ b/cell/job.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	j := c.newJob(w, now)
-	c.jobs[w.ID] = j
+	c.addJob(j)
 	c.addDueOccurrences(now, j)
 	c.markChanged(j)
 	c.log(LogEntry{Event: "job submitted", Job: w.ID, Reason: w.Queue, Objective: j.objective(c.queues[w.Queue]), Work: j.work})
@@ -133,7 +133,7 @@
 	if j == nil || j.state.Final() {
 		return false
 	}
-	delete(c.jobs, id)
+	c.removeJob(j)
 	for _, r := range j.openRuns() {
 		c.closeRun(now, c.workers[r.worker.ID], r)
 	}
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -17,7 +17,7 @@
 	if p.State != "" {
 		j.state = p.State
 	}
-	c.jobs[j.ID] = j
+	c.addJob(j)
 	c.addDueOccurrences(j.acceptedAt, j)
 	// The clock of the earlier owner may have been ahead: an occurrence that it began counts as
 	// due.
--- a/front/export_test.go
+++ b/front/export_test.go
@@ -31,3 +31,10 @@
 	l := limitsOf(s)
 	return Limits{Callers: l.Callers, Links: l.Links, ConnectionBytes: l.Callers * server.ConnectionBytes, RequestBytes: l.RequestBytes}
 }
+
+// LeastMemory returns the memory of the smallest host, in bytes, after the rows were read.
+func LeastMemory(rows []ledger.Row) int64 {
+	m := members{onChange: func() {}}
+	m.replaceAll(rows)
+	return m.leastMemory()
+}
--- a/front/limits.go
+++ b/front/limits.go
@@ -6,7 +6,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillaquay/vanillaquay/backlog"
 	"github.com/vanillaquay/vanillaquay/platform"
+	"github.com/vanillaquay/vanillaquay/scheduler"
 	"github.com/vanillaquay/vanillaquay/server"
 	"github.com/vanillaquay/vanillaquay/timer"
 )
@@ -39,6 +41,18 @@
 	h.hub.Memory.SetLimit(l.LinkBytes)
 	h.servers.callers.LimitConnections(l.Callers)
 	h.servers.links.LimitConnections(l.Links)
+	if o := h.localOwner(); o != nil {
+		h.limitBacklog(o)
+	}
+}
+
+// limitBacklog bounds the jobs of a cell by what this host and every other member can hold.
+func (h *Host) limitBacklog(o *scheduler.Owner) {
+	own := h.settings().MemoryLimit
+	if own <= 0 {
+		own = defaultMemory
+	}
+	o.SetBacklogLimit(backlog.LimitOf(min(own, h.members.leastMemory())))
 }
 
 // refusals counts what was refused to callers for want of memory, connections or time.
--- a/front/limits_test.go
+++ b/front/limits_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillaquay/vanillaquay/front"
+	"github.com/vanillaquay/vanillaquay/ledger"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/server"
 )
@@ -33,3 +34,18 @@
 		})
 	}
 }
+
+// Guards against jobs beyond what the smallest host can hold that may take the cell over, and
+// against a row that states so little memory that the cell would accept nothing.
+func TestMemoryOfTheSmallestHostCounts(t *testing.T) {
+	const mib = 1 << 20
+	c := qt.New(t)
+	large := memberRow(c, "h1", map[int]any{1: "10.0.0.1:1", 6: 2000 * mib})
+	small := memberRow(c, "h2", map[int]any{1: "10.0.0.2:1", 6: 284 * mib})
+	c.Check(front.LeastMemory([]ledger.Row{large}), qt.Equals, int64(2000*mib))
+	c.Check(front.LeastMemory([]ledger.Row{large, small}), qt.Equals, int64(284*mib))
+	for _, memory := range []int64{0, 1, -1} {
+		odd := memberRow(c, "h3", map[int]any{1: "10.0.0.3:1", 6: memory})
+		c.Check(front.LeastMemory([]ledger.Row{large, odd}), qt.Equals, int64(184*mib))
+	}
+}
--- a/front/member.go
+++ b/front/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -20,6 +21,9 @@
 	registerRetryInterval = 500 * time.Millisecond
 	// maxMemberProcessors bounds the processor time that a host may state, in cores.
 	maxMemberProcessors = 1_000_000
+	// minMemberMemory is the least memory that a host may state, in bytes: the process itself takes
+	// some 30 MB.
+	minMemberMemory = 64 << 20
 	// memberWatchPause is the minimum interval between two calls of the watch of members,
 	// which change over minutes, not seconds.
 	memberWatchPause = 500 * time.Millisecond
@@ -33,6 +37,8 @@
 	Incarnation string `cbor:"4,keyasint"`
 	// Processors is the host's share of processor time, in cores; 0 if not known.
 	Processors float64 `cbor:"5,keyasint,omitempty"`
+	// Memory bounds the memory of the process, in bytes; 0 if not known.
+	Memory int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // members holds the known entry hosts, as read from their rows.
@@ -65,6 +71,23 @@
 	return maps.Clone(m.byName)
 }
 
+// leastMemory returns the memory of the smallest of the members, in bytes, all of which may take the
+// cell over. One that does not state its memory counts as one of the smallest hosts, and one that
+// states less than any host can have as well.
+func (m *members) leastMemory() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	least := int64(math.MaxInt64)
+	for _, k := range m.byName {
+		memory := k.Memory
+		if memory < minMemberMemory {
+			memory = defaultMemory
+		}
+		least = min(least, memory)
+	}
+	return least
+}
+
 func (m *members) replaceAll(rows []ledger.Row) {
 	known := map[string]member{}
 	for _, r := range rows {
@@ -102,7 +125,7 @@
 func (h *Host) registerMember(ctx context.Context) {
 	s := h.settings()
 	value, err := codec.Marshal(member{
-		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Region: s.Region, Incarnation: h.incarnation, Processors: s.Processors,
+		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Zone: s.Zone, Region: s.Region, Incarnation: h.incarnation, Processors: s.Processors, Memory: s.MemoryLimit,
 	})
 	if err != nil {
 		h.log.WithError(err).Error("front: encoding the member row of this host failed")
--- a/front/serve.go
+++ b/front/serve.go
@@ -140,6 +140,8 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "vanillaquay_%s %v\n", name, value) }
 	line("jobs_accepted_total", h.counters.Accepted.Load())
 	line("jobs_refused_total", h.counters.Refused.Load())
+	line("jobs_refused_backlog_total", h.counters.BacklogRefused.Load())
+	line("backlog_bytes", h.counters.BacklogBytes.Load())
 	line("missing_keys_total", h.ingress.MissingKeys.Load())
 	line("unknown_keys_total", h.ingress.UnknownKeys.Load())
 	line("withdrawn_keys_total", h.counters.WithdrawnKeys.Load())
--- a/front/tenure.go
+++ b/front/tenure.go
@@ -272,6 +272,7 @@
 		Cell: cellName, CellOptions: cellOptions(s), StatusRetention: s.StatusKept, EarlierOwnerTimeout: tenure.OwnerTimeout,
 		Holder: s.Host, UpkeepTime: s.UpkeepTime, TakeoverPause: s.TurnPause, MaxQueuedJobBytes: limitsOf(s).QueuedBytes,
 	}, l, h.store, h.relay, h.machines.Load(), h, &h.counters, h.log)
+	h.limitBacklog(o)
 	h.mu.Lock()
 	h.owner = o
 	for _, w := range h.waves {
@@ -370,7 +371,11 @@
 func (h *Host) updateLinks() {
 	h.mu.Lock()
 	owner, own := h.lease.Owner, h.owner != nil
+	localOwner := h.owner
 	h.mu.Unlock()
+	if own {
+		h.limitBacklog(localOwner)
+	}
 	var wanted []string
 	for _, name := range h.members.names() {
 		if name != h.settings().Host && (own || name == owner) {
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -86,7 +86,7 @@
 			o.refuseOverloaded(reply, "the owner is behind")
 			return
 		}
-		if !o.admit(now, &c.Job, reply) {
+		if !o.admit(now, &c.Job, reply) || !o.admitToBacklog(now, c.Job, reply) {
 			return
 		}
 		o.accept(now, c.Job)
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -17,6 +17,9 @@
 	DividedQuestions atomic.Int64
 	// UnknownCancels counts cancellations of jobs that the owner does not know.
 	UnknownCancels atomic.Int64
+	// BacklogRefused counts jobs that were refused because the hosts of the cell have no memory for
+	// them, and BacklogBytes is the memory of its jobs as of the last new one, in bytes.
+	BacklogRefused, BacklogBytes atomic.Int64
 	// RejectedRows counts rows that the store has rejected for good.
 	RejectedRows                                                   atomic.Int64
 	Accepted, Refused, Starts, Stops, Holds, Fenced, EventsDropped atomic.Int64
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillaquay/vanillaquay/advice"
+	"github.com/vanillaquay/vanillaquay/backlog"
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
 	"github.com/vanillaquay/vanillaquay/intake"
@@ -120,6 +121,9 @@
 	supersededOnce sync.Once
 	// lastSchedule is the time of the last scheduling pass.
 	lastSchedule time.Duration
+	// backlog bounds the jobs of the cell by backlogLimit, in bytes.
+	backlog      backlog.Backlog
+	backlogLimit atomic.Int64
 	// queuedJobBytes is the memory of the jobs of queued calls.
 	queuedJobBytes atomic.Int64
 	// peakCallDelay is the longest time that a call has waited since the last
@@ -201,6 +205,10 @@
 	}
 }
 
+// SetBacklogLimit bounds the memory of the jobs that the cell holds, in bytes, from the next call on;
+// 0 is no limit. Every host that may take the cell over must be able to hold them.
+func (o *Owner) SetBacklogLimit(bytes int64) { o.backlogLimit.Store(bytes) }
+
 // HandleCall queues the call of a host. If the queue is full the call is dropped without
 // a reply: it may repeat an earlier call that took effect, so that a refusal could be
 // wrong. The host sends it again.
