platform: connections to workers have a limit

With all workers slow at once an owner had 16 orders and a hold in flight to each of 350 workers, each on a connection of its own: 5,950 descriptors of 4,100, after which nothing could be accepted or opened, the store included.

--- a/front/host.go
+++ b/front/host.go
@@ -96,9 +96,10 @@
 
 // New returns a host with the given settings.
 func New(settings platform.Settings, log *logrus.Entry) *Host {
+	limits := limitsOf(settings)
 	h := &Host{
 		log: log, incarnation: uuid.NewString()[:8],
-		store: platform.NewStore(settings.StoreAddress), workerClient: platform.NewWorkerClient(),
+		store: platform.NewStore(settings.StoreAddress), workerClient: platform.NewWorkerClient().WithMaxConnections(limits.Workers),
 		waves: map[int64]upkeep.Wave{}, questions: ring.New[queuedQuestion](maxQueuedQuestions),
 		catalogueRefresh: ring.New[struct{}](1), membersRefresh: ring.New[struct{}](1),
 		requestMemory: budget.New(0),
@@ -109,7 +110,6 @@
 	h.members = members{byName: map[string]member{}, onChange: h.updateLinks}
 	h.hub = peer.NewHub(settings.Host, h.members.resolve)
 	h.hub.OnConnect = h.forwardCachedAdvice
-	limits := limitsOf(settings)
 	h.hub.MaxQueuedBytes, h.hub.MaxMessageBytes, h.hub.Memory = limits.QueuedBytes, limits.MessageBytes, budget.New(limits.LinkBytes)
 	h.relay = carrier.NewRelay(h.workerClient, h, log)
 	h.carrier = carrier.NewCarrier(h.workerClient, h.fence, h.sendWorkerAnswers)
--- a/server/limits.go
+++ b/server/limits.go
@@ -13,6 +13,9 @@
 	// 300 hosts 643 of the latter stay free, so that an owner has 1,586 for its links to the
 	// others and its connections to workers and the store.
 	callerShare, linkShare = 0.5, 0.25
+	// workerShare is the share of them that connections to workers may take: 829 of 4,100
+	// descriptors. 370 workers use one or two each.
+	workerShare = 0.22
 	// connectionMemoryShare is the share of the memory that connections of callers may take, at
 	// ConnectionBytes each: the goroutines and buffers of a request, for which 16 to 27 KB were
 	// measured, and the receive buffer. A host with 184 MB has 905 such connections.
@@ -51,8 +54,9 @@
 	// LinkBytes bounds the messages from other hosts that arrive, and MessageBytes one of them, in
 	// bytes.
 	LinkBytes, MessageBytes int64
-	// Callers and Links bound the connections of callers and the links from other hosts.
-	Callers, Links int
+	// Callers and Links bound the connections of callers and the links from other hosts, Workers the
+	// connections to workers.
+	Callers, Links, Workers int
 }
 
 // LimitsOf derives the limits of a process from its memory, in bytes, and its descriptors.
@@ -65,5 +69,6 @@
 		MessageBytes: int64(min(maxMessageBytes, messageMemoryShare*float64(memory))),
 		Callers:      max(1, int(min(callerShare*sockets, connectionMemoryShare*float64(memory)/ConnectionBytes))),
 		Links:        max(1, int(linkShare*sockets)),
+		Workers:      max(1, int(workerShare*sockets)),
 	}
 }
