decision, entry: work that has not ended has a limit of memory

The limit of the queue counts jobs only, 100,000 of up to 1 MiB and 10,000 tasks each.

Work that has not ended now has an eighth of the memory, and is refused beyond it as Overloaded with the time that the queue needs, the least urgent work first as with the limit of the queue. Ended work is not counted: it keeps its payload for an hour, which stays open in docs/design/bodies.md.

crowd: hosts that are each within their limits and together attack their owner, and an owner under attack, which must keep the cell with the same fencing token.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -6,11 +6,13 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -196,6 +198,39 @@
 	h.check()
 }
 
+// Guards against hosts that accept more work than they have memory for: work with large payloads that
+// waits for the only worker.
+func TestEntryMuchWork(t *testing.T) {
+	const works = 30
+	h := startEntry(t)
+	payload := base64.StdEncoding.EncodeToString(make([]byte, task.MaxPayloadBytes/2))
+	var accepted, refused atomic.Int64
+	h.attack(submitters, func(connection net.Conn, client int) error {
+		answers := bufio.NewReader(connection)
+		for i := range works {
+			body := fmt.Sprintf(`{"ID":"w-%d-%d","Kind":"Batch","Size":{"Processors":16,"Memory":"64MiB"},"RunTime":"1m","FirstTry":true,"Payload":%q}`, client, i, payload)
+			if _, err := fmt.Fprintf(connection, "%s%s\r\n\r\n%s", authorised(workPath, teamToken), lengthHeader(len(body)), body); err != nil {
+				return err
+			}
+			response, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return err
+			}
+			if response.StatusCode == http.StatusAccepted {
+				accepted.Add(1)
+			} else {
+				refused.Add(1)
+			}
+		}
+		return nil
+	})
+	h.c.Logf("%d accepted, %d refused", accepted.Load(), refused.Load())
+	h.check()
+}
+
 // Guards against limits that refuse a single caller within the limits when there is no attack: the
 // largest body, in chunks of one byte.
 func TestEntrySlowBodyInCalm(t *testing.T) {
--- a/crowd/host_test.go
+++ b/crowd/host_test.go
@@ -89,16 +89,18 @@
 
 // startHost starts a host on the users' platform with its stand-ins, and waits until it answers
 // callers.
-func startHost(t *testing.T) *host {
-	h := newHost(t)
-	c := h.c
-	h.submission = func() (*http.Request, error) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+h.address(callerPort)+jobPath(0), strings.NewReader(job))
-		if err == nil {
-			r.Host = virtualHost
-		}
-		return r, err
-	}
+func startHost(t *testing.T) *host { return newPlatform(t).startHost(t) }
+
+// standins are the addresses of the stand-ins of the users' platform.
+type standins struct {
+	store, advice, machines string
+	// hosts is the number of hosts that were started.
+	hosts int
+}
+
+// newPlatform starts the stand-ins, with one worker.
+func newPlatform(t *testing.T) *standins {
+	c := qt.New(t)
 	rows := platformstandin.NewRows()
 	catalogue, err := platformstandin.CatalogueDocument(1, virtualHost, []platformstandin.Queue{{Name: queue, Attempts: 3}})
 	c.Assert(err, qt.IsNil)
@@ -108,12 +110,26 @@
 	row, err := platformstandin.WorkerDocument(serve(c, worker.Handler()), platformstandin.StateReady, worker.Capacity, worker.StartedAt().UnixMilli())
 	c.Assert(err, qt.IsNil)
 	rows.Put("servers", worker.ID, row)
+	return &standins{store: serve(c, rows.Handler()), advice: serve(c, workerstandin.Advisor()), machines: serve(c, platformstandin.NewFleet(time.Second).Handler())}
+}
+
+// startHost starts a host and waits until it answers callers. The first one owns the cell.
+func (s *standins) startHost(t *testing.T) *host {
+	h := newHost(t)
+	c := h.c
+	h.submission = func() (*http.Request, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+h.address(callerPort)+jobPath(0), strings.NewReader(job))
+		if err == nil {
+			r.Host = virtualHost
+		}
+		return r, err
+	}
 	settings, err := platformstandin.SettingsDocument(platformstandin.HostSettings{
-		Host: "h0", IP: h.ip, CallerAddress: h.address(callerPort), ReadyAddress: h.address(readyPort), PeerPort: peerPort,
-		StoreAddress: serve(c, rows.Handler()), AdviceAddress: serve(c, workerstandin.Advisor()),
-		Machines: serve(c, platformstandin.NewFleet(time.Second).Handler()), StatusS: 120,
+		Host: fmt.Sprintf("h%d", s.hosts), IP: h.ip, CallerAddress: h.address(callerPort), ReadyAddress: h.address(readyPort), PeerPort: peerPort,
+		StoreAddress: s.store, AdviceAddress: s.advice, Machines: s.machines, StatusS: 120,
 	})
 	c.Assert(err, qt.IsNil)
+	s.hosts++
 	path := filepath.Join(t.TempDir(), "settings.json")
 	c.Assert(os.WriteFile(path, withLimits(c, settings), 0o600), qt.IsNil)
 	h.start(t, []string{platform.SettingsVariable + "=" + path}, "front")
--- a/decision/admit.go
+++ b/decision/admit.go
@@ -52,6 +52,9 @@
 	case t.queuedCount >= c.options.TeamQueueLimit:
 		return task.Refusal(w.Key(), CodeTeamQueueFull, "Too much work of the team waits already.",
 			c.startRate.retryAfter(t.queuedCount)), false
+	case c.exceedsMemory(w, k):
+		return task.Refusal(w.Key(), CodeOverloaded, "The work that waits or runs takes all the memory for it.",
+			c.startRate.retryAfter(c.queuedCount)), false
 	case c.queuedCount*100 >= c.options.QueueLimit*queuePercent[k]:
 		return task.Refusal(w.Key(), CodeOverloaded, "Too much work waits already.", c.startRate.retryAfter(c.queuedCount)), false
 	case c.missesDeadline(w, c.startRate.expectedWait(ahead)):
--- a/decision/core.go
+++ b/decision/core.go
@@ -26,6 +26,8 @@
 	// ownedPartitions holds the partitions that the driver owns.
 	ownedPartitions map[string]bool
 	jobs            map[task.Key]*job
+	// unfinishedBytes is the memory of the jobs that have not ended, in bytes.
+	unfinishedBytes int64
 	// overtaken holds refused repeats of work that is not in jobs.
 	overtaken overtaken
 	// queues holds the jobs with a waiting task, by class.
@@ -194,6 +196,8 @@
 	j.allotment = j.team.allotmentOf(j.partition)
 	j.size = c.sizeOf(j)
 	c.jobs[j.key] = j
+	j.heldBytes = memoryOf(j.work)
+	c.unfinishedBytes += j.heldBytes
 	if !j.work.Deadline.IsZero() {
 		c.wakeBy(j, j.work.Deadline)
 	}
@@ -204,6 +208,7 @@
 func (c *Core) removeJob(j *job) {
 	c.unqueue(j)
 	c.cancelTimer(j)
+	c.markFinished(j)
 	for i := range j.tasks {
 		c.release(j, i)
 	}
--- a/decision/end.go
+++ b/decision/end.go
@@ -217,6 +217,7 @@
 		return
 	}
 	j.endedAt = c.now
+	c.markFinished(j)
 	c.answerAll(j, j.answer)
 	for i := range j.tasks {
 		c.forgetAttempt(j, i)
--- a/decision/job.go
+++ b/decision/job.go
@@ -10,6 +10,8 @@
 
 // job is a piece of work and its state.
 type job struct {
+	// heldBytes is the part of the job in the core's unfinishedBytes.
+	heldBytes int64
 	work      task.Work
 	key       task.Key
 	team      *team
--- a/decision/options.go
+++ b/decision/options.go
@@ -16,6 +16,9 @@
 	// TeamQueueLimit is the maximum number of queued jobs of one team. 0 means
 	// an eighth of QueueLimit.
 	TeamQueueLimit int
+	// MemoryLimit is the maximum memory of the jobs that have not ended, in bytes; new work beyond it
+	// is refused. 0 means no limit.
+	MemoryLimit int64
 	// MaxAttempts is how many attempts of one task may end with an error of the
 	// task itself. 0 means DefaultMaxAttempts.
 	MaxAttempts int
--- a/decision/recover.go
+++ b/decision/recover.go
@@ -40,6 +40,7 @@
 		j.answer = *e.Answer
 		j.state = "Answered"
 		j.endedAt = e.At
+		c.markFinished(j)
 	}
 }
 
--- a/entry/decide.go
+++ b/entry/decide.go
@@ -46,8 +46,10 @@
 
 func newDecideDuty(h *Host) *decideDuty {
 	return &decideDuty{
-		host:       h,
-		core:       decision.New(decision.Options{Region: h.hostSettings.Region, PartitionOf: h.partitionOf}),
+		host: h,
+		core: decision.New(decision.Options{
+			Region: h.hostSettings.Region, PartitionOf: h.partitionOf, MemoryLimit: limitsOf(h.settings.Limits).WorkBytes,
+		}),
 		events:     ring.New[input](eventQueueSize),
 		leaseValid: true,
 
--- a/server/limits.go
+++ b/server/limits.go
@@ -28,6 +28,8 @@
 	// take until they are handled, and that jobs may take which wait for the event loop of the owner.
 	// 300 hosts with callers that send the largest jobs would fill any owner's memory.
 	queueMemoryShare = 0.0625
+	// workMemoryShare is the share of the memory that work may take which has not ended.
+	workMemoryShare = 0.125
 	// linkMemoryShare is the share of the memory that messages from other hosts may take while they
 	// arrive, and messageMemoryShare that of one of them, up to maxMessageBytes. Hosts send messages
 	// of 128 KiB, and larger ones only for a single value, such as the list of a worker's runs.
@@ -51,6 +53,9 @@
 	// QueuedBytes bounds messages of a kind that wait, and jobs that wait for the event loop, in
 	// bytes.
 	QueuedBytes int64
+	// WorkBytes bounds the work of a host of the project's own deployments that has not ended, in
+	// bytes.
+	WorkBytes int64
 	// LinkBytes bounds the messages from other hosts that arrive, and MessageBytes one of them, in
 	// bytes.
 	LinkBytes, MessageBytes int64
@@ -65,6 +70,7 @@
 	return Limits{
 		RequestBytes: int64(requestMemoryShare * float64(memory)),
 		QueuedBytes:  int64(queueMemoryShare * float64(memory)),
+		WorkBytes:    int64(workMemoryShare * float64(memory)),
 		LinkBytes:    int64(linkMemoryShare * float64(memory)),
 		MessageBytes: int64(min(maxMessageBytes, messageMemoryShare*float64(memory))),
 		Callers:      max(1, int(min(callerShare*sockets, connectionMemoryShare*float64(memory)/ConnectionBytes))),
