--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -43,11 +43,8 @@
 // SetLimit sets the limit in bytes; 0 is no limit. Jobs beyond a lowered limit are kept.
 func (b *Backlog) SetLimit(limit int64) { b.limit = limit }
 
-// Limit returns the limit in bytes.
-func (b *Backlog) Limit() int64 { return b.limit }
-
-// Update notes the memory that all jobs take now, in bytes, of which the caller has learned
-// otherwise. What is missing of the jobs that were accepted has ended.
+// Update notes the memory that all jobs take now, in bytes. What they take less than before, with
+// those accepted since, counts as freed.
 func (b *Backlog) Update(now time.Duration, held int64) {
 	if !b.begun {
 		b.begun, b.begunAt, b.updatedAt, b.held = true, now, now, held
