server: a drain closes unused connections without its lock

A graceful stop hung if a client held a connection without a request: the host kept what it owned until it was killed.

Connections are now closed after the lock is released.

--- a/server/server.go
+++ b/server/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,14 +122,19 @@
 // closeUnused closes connections without a request so far, since Shutdown would wait
 // 5 s for them.
 func (s *Server) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.openedAt {
+	// Closing a connection removes it from open, under s.mu.
+	for _, c := range s.unused() {
 		// The client may have closed it already.
 		_ = c.Close()
 	}
 }
 
+func (s *Server) unused() []net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.openedAt))
+}
+
 // requestsPending reports whether a request is in flight, or may still arrive on a new
 // connection.
 func (s *Server) requestsPending(now time.Time) bool {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -111,6 +111,28 @@
 	c.Assert(err, qt.Equals, io.EOF)
 }
 
+// Guards against a graceful stop that hangs: a server with limits closes a connection without a
+// request.
+func TestUnusedConnectionOfALimitedServerDoesNotBlockDrain(t *testing.T) {
+	c := qt.New(t)
+	s := &server.Server{Server: http.Server{Handler: http.NotFoundHandler()}}
+	s.LimitConnections(10)
+	l, err := server.Listen("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve(l) }()
+	conn := connect(c, l.Addr().String())
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	select {
+	case err := <-drained:
+		c.Assert(err, qt.IsNil)
+	case <-time.After(20 * time.Second):
+		c.Fatal("Drain hangs")
+	}
+	_, err = conn.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+}
+
 func TestDrainStopsWithTheContext(t *testing.T) {
 	c := qt.New(t)
 	s, address := startServer(c, 2*time.Second)
