platform, front: count and log large reads, and reads that are cut off

Each read of 32 KB or more, and each answer that began and did not end, is logged now with its table, its bytes, when it began and when it ended; metrics count the bytes of reads, and of reads that failed. No decision changes.

--- a/front/host.go
+++ b/front/host.go
@@ -104,6 +104,7 @@
 		catalogueRefresh: ring.New[struct{}](1), membersRefresh: ring.New[struct{}](1),
 		requestMemory: budget.New(0),
 	}
+	h.store.OnRead = h.logRead
 	h.currentSettings.Store(&settings)
 	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
 	h.machines.Store(platform.NewMachineClient(settings.MachinesAddress))
--- a/front/serve.go
+++ b/front/serve.go
@@ -159,6 +159,8 @@
 	line("events_dropped_total", h.counters.EventsDropped.Load())
 	line("rejected_rows_total", h.counters.RejectedRows.Load())
 	line("store_calls_total", h.store.Calls.Load())
+	line("store_read_bytes_total", h.store.ReadBytes.Load())
+	line("store_read_bytes_lost_total", h.store.LostReadBytes.Load())
 	line("takeovers_total", h.takeovers.Load())
 	refused, requests := h.refusals(), h.requestMemory.Stats()
 	line("connections_refused_total", refused.ConnectionsRefused)
