--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,6 +122,11 @@
 // deployWith is like deployUnequal. storeFor is called for each host with the address of the
 // store, and returns the address that the host uses.
 func deployWith(t *testing.T, shares []float64, workers int, length time.Duration, storeFor func(store string) string) *deployment {
+	return deployInRegions(t, slices.Repeat([]string{"r"}, len(shares)), shares, workers, length, storeFor)
+}
+
+// deployInRegions is like deployWith, for hosts in the given regions.
+func deployInRegions(t *testing.T, regions []string, shares []float64, workers int, length time.Duration, storeFor func(store string) string) *deployment {
 	networks.Lock()
 	networks.n++
 	net1, net2 := 10+os.Getpid()%200, networks.n
@@ -144,7 +150,7 @@
 		h := &hostProcess{name: fmt.Sprintf("h%d", i), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+1)}
 		h.settings = filepath.Join(t.TempDir(), "settings.json")
 		content, err := json.Marshal(map[string]any{
-			"node": h.name, "zone": "z", "region": "r", "ip": h.ip, "port_range": []int{peerPort, peerPort + 15},
+			"node": h.name, "zone": "z", "region": regions[i], "ip": h.ip, "port_range": []int{peerPort, peerPort + 15},
 			"listen":    map[string]string{"front": fmt.Sprintf("%s:%d", h.ip, callerPort), "ready": fmt.Sprintf("%s:%d", h.ip, readyPort)},
 			"limits":    map[string]any{"memory_mb": 284, "cpu_share": share},
 			"platform":  map[string]any{"addr": storeFor(strings.TrimPrefix(store.URL, "http://")), "form": "table", "row_bytes": 65536},
--- a/proxytest/proxy.go
+++ b/proxytest/proxy.go
@@ -28,6 +28,8 @@
 	resumed     *sync.Cond
 	// limiter limits the rate towards the target; nil means no limit.
 	limiter *rate.Limiter
+	// shared limits the rate from the target, together with other proxies; nil means no limit.
+	shared *rate.Limiter
 	// delay is how long each chunk waits before it is forwarded, in both directions.
 	delay time.Duration
 }
@@ -109,8 +111,8 @@
 	for {
 		n, err := from.Read(buffer)
 		withheld := p.withhold(c, from, buffer[:n])
-		if !withheld && from == c.client {
-			p.throttle(n)
+		if !withheld {
+			p.throttle(from == c.client, n)
 		}
 		p.applyDelay()
 		switch {
@@ -146,10 +148,13 @@
 	return c.dropToTarget || c.holding
 }
 
-// throttle waits until the rate limit allows a number of bytes.
-func (p *Proxy) throttle(bytes int) {
+// throttle waits until the rate limit of a direction allows a number of bytes.
+func (p *Proxy) throttle(toTarget bool, bytes int) {
 	p.mu.Lock()
-	limiter := p.limiter
+	limiter := p.shared
+	if toTarget {
+		limiter = p.limiter
+	}
 	p.mu.Unlock()
 	if limiter != nil {
 		time.Sleep(limiter.ReserveN(time.Now(), bytes).Delay())
@@ -227,6 +232,19 @@
 	p.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond), bufferSize)
 }
 
+// ShareRate limits the rate from the target by a limiter that several proxies may share, as
+// connections share a link. Use NewLink to make one.
+func (p *Proxy) ShareRate(link *rate.Limiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shared = link
+}
+
+// NewLink returns a limiter for ShareRate, in bytes per second.
+func NewLink(bytesPerSecond int) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), bufferSize)
+}
+
 // SetDelay delays each forwarded chunk in both directions; 0 ends the delay.
 func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
