mirror, front, ledger: one host of a region reads the operator's table for all

Cause: each host read each version of the configuration itself. With 4,245 queues a version is some 1 MB on the wire, so that 22 hosts need over 3 s of the 60 Mbit/s between the regions for it, and the next version came as soon. Orders, renewals and calls waited behind it. Reads were cut off and begun anew: by the time limit of a list, and 2 s after another host had told of a newer version also if the answer was arriving.

Why this works: the hosts of a region form a tree, in the order of their processor time. Its root reads from the store, each other host asks the one above it, which answers as soon as it has a newer row, compressed to a sixteenth. A host tells how old its knowledge is and whether it is reading. One that does not answer, or knows nothing recent, is passed over, and a host that finds none reads from the store itself, so that none depends on another for more than half of config_ms. A call is not made again while its answer arrives.

TestKeyWithdrawnWhileHostIsCutOff needs a host that does not learn of a version. Cut off from the store it learns of it from the others of its region now, so the hosts of the test are in regions of their own; all of its checks are as before.

--- a/front/catalogue.go
+++ b/front/catalogue.go
@@ -16,9 +16,11 @@
 	// 10 Mbit/s one of 1,450 queues takes 0.3 s, and one that fails is repeated after 1.8 s.
 	cataloguePauseShare = 0.375
 	// catalogueGraceShare is how long after another host a host may read a version before it
-	// counts its feed call as lost, as a share of the time within which a version must be in
-	// force. A version of 1,450 queues takes 1 s if 20 hosts read it over a link of 60 Mbit/s.
+	// counts its call as lost, as a share of the time within which a version must be in force.
 	catalogueGraceShare = 0.5
+	// receivingCheckInterval is the interval of checks whether an answer still arrives, which
+	// is not cut off.
+	receivingCheckInterval = 200 * time.Millisecond
 	// defaultCatalogueGrace is that time if the settings do not say when a version must be in
 	// force.
 	defaultCatalogueGrace = 1250 * time.Millisecond
@@ -52,7 +54,7 @@
 		}
 	}
 	ledger.Watch{
-		Store: h.store, Table: platform.OperatorTable,
+		Store: h.operatorTable, Table: platform.OperatorTable,
 		OnChange: onChange, ListAfterGap: true, Reissue: h.catalogueRefresh.Values(),
 		LargeRowPause: time.Duration(cataloguePauseShare * float64(h.settings().CatalogueTime)),
 		OnError:       func(err error) { h.log.WithField("why", err.Error()).Warn("front: configuration not read") },
@@ -72,15 +74,22 @@
 		return
 	}
 	h.newestCatalogue = version
-	time.AfterFunc(h.catalogueGrace(), func() {
+	var check func()
+	check = func() {
 		own := h.forwarder.CatalogueVersion()
 		if own >= version {
 			return
 		}
+		if h.operatorTable.Pending() {
+			time.AfterFunc(receivingCheckInterval, check)
+			return
+		}
+		h.operatorTable.Distrust()
 		h.log.WithFields(logrus.Fields{"version": own, "newer": version, "host": from}).Warn("front: configuration older than that of another host is read again")
 		// If the ring is full, a reissue is already due.
 		_ = h.catalogueRefresh.TryPut(struct{}{})
-	})
+	}
+	time.AfterFunc(h.catalogueGrace(), check)
 }
 
 func (h *Host) catalogueGrace() time.Duration {
--- a/front/cell_test.go
+++ b/front/cell_test.go
@@ -102,10 +102,11 @@
 	return deployUnequal(t, make([]float64, hosts), workers, length)
 }
 
-// deployBehindProxies is like deploy, with a proxy between each host and the store.
-func deployBehindProxies(t *testing.T, hosts, workers int, length time.Duration) (*deployment, []*proxytest.Proxy) {
+// deployBehindProxies is like deploy, for hosts in the given regions, with a proxy between each of
+// them and the store.
+func deployBehindProxies(t *testing.T, regions []string, workers int, length time.Duration) (*deployment, []*proxytest.Proxy) {
 	var proxies []*proxytest.Proxy
-	d := deployWith(t, make([]float64, hosts), workers, length, func(store string) string {
+	d := deployInRegions(t, regions, make([]float64, len(regions)), workers, length, func(store string) string {
 		p := proxytest.New(t, store)
 		t.Cleanup(p.Close)
 		proxies = append(proxies, p)
--- a/front/host.go
+++ b/front/host.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/intake"
 	"github.com/vanillaquay/vanillaquay/ledger"
+	"github.com/vanillaquay/vanillaquay/mirror"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/ring"
@@ -45,9 +46,14 @@
 	log             *logrus.Entry
 	incarnation     string
 	store           *platform.Store
-	workerClient    *platform.WorkerClient
-	advisor         atomic.Pointer[platform.Advisor]
-	machines        atomic.Pointer[platform.MachineClient]
+	// operatorTable reads the operator's table, from another host of the region where there is one.
+	operatorTable *mirror.Store
+	startedAt     time.Time
+	// membersListed is closed when the members have been read once.
+	membersListed chan struct{}
+	workerClient  *platform.WorkerClient
+	advisor       atomic.Pointer[platform.Advisor]
+	machines      atomic.Pointer[platform.MachineClient]
 	// relay sends this host's calls to workers, through carriers where there are any;
 	// carrier forwards such calls for other owners.
 	relay       *carrier.Relay
@@ -102,9 +108,15 @@
 		store: platform.NewStore(settings.StoreAddress), workerClient: platform.NewWorkerClient().WithMaxConnections(limits.Workers),
 		waves: map[int64]upkeep.Wave{}, questions: ring.New[queuedQuestion](maxQueuedQuestions),
 		catalogueRefresh: ring.New[struct{}](1), membersRefresh: ring.New[struct{}](1),
-		requestMemory: budget.New(0),
+		requestMemory: budget.New(0), membersListed: make(chan struct{}), startedAt: time.Now(),
 	}
 	h.store.OnRead = h.logRead
+	h.operatorTable = &mirror.Store{
+		Store: h.store, Table: platform.OperatorTable, Self: settings.Host, Peers: h.regionPeers,
+		Bound:  func() time.Duration { return h.settings().CatalogueTime },
+		Client: platform.NewHostClient(), OnAnswer: h.logMirrorAnswer,
+		Receiving: func() bool { return h.store.Receiving(platform.OperatorTable) },
+	}
 	h.currentSettings.Store(&settings)
 	h.advisor.Store(platform.NewAdvisor(settings.AdviceAddress))
 	h.machines.Store(platform.NewMachineClient(settings.MachinesAddress))
--- a/front/key_test.go
+++ b/front/key_test.go
@@ -42,12 +42,13 @@
 	}
 }
 
-// A key is withdrawn and another is added while a host can't reach the store. That host must not
+// A key is withdrawn and another is added while a host can't reach the store, nor another host of its
+// region that could tell it the version. That host must not
 // get anything done for the withdrawn key, of which the owner knows, and must go on with the keys
 // that it has; the others follow the new version on open connections. What was accepted before
 // must run, and nothing that was refused may.
 func TestKeyWithdrawnWhileHostIsCutOff(t *testing.T) {
-	d, links := deployBehindProxies(t, 3, 2, 100*time.Millisecond)
+	d, links := deployBehindProxies(t, []string{"r1", "r2", "r3"}, 2, 100*time.Millisecond)
 	d.putKeys(2, "k1", "k2")
 	for _, h := range d.hosts {
 		d.awaitVersion(h, 2)
--- a/front/member.go
+++ b/front/member.go
@@ -139,9 +139,14 @@
 
 // watchMembers follows the rows of all hosts.
 func (h *Host) watchMembers(ctx context.Context) {
+	listed := sync.OnceFunc(func() { close(h.membersListed) })
 	ledger.Watch{
 		Store: h.store, Table: ledger.MemberTable, MinInterval: memberWatchPause,
-		OnList: h.members.replaceAll, OnChange: h.members.applyChange, Reissue: h.membersRefresh.Values(),
+		OnList: func(rows []ledger.Row) {
+			h.members.replaceAll(rows)
+			listed()
+		},
+		OnChange: h.members.applyChange, Reissue: h.membersRefresh.Values(),
 		OnError: func(err error) { h.log.WithField("why", err.Error()).Warn("front: members not read") },
 	}.Run(ctx)
 }
--- a/front/replaced_test.go
+++ b/front/replaced_test.go
@@ -55,7 +55,7 @@
 // while it is cut off, so that callers connected to it would get no answer.
 func TestOwnerCutOffFromStoreForwardsCallsToItsSuccessor(t *testing.T) {
 	c := qt.New(t)
-	d, proxies := deployBehindProxies(t, 3, 2, 30*time.Second)
+	d, proxies := deployBehindProxies(t, []string{"r", "r", "r"}, 2, 30*time.Second)
 	for n, h := range d.hosts {
 		d.submit(h, "plain", n, 1)
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillaquay/vanillaquay/cell"
 	"github.com/vanillaquay/vanillaquay/clock"
+	"github.com/vanillaquay/vanillaquay/mirror"
 	"github.com/vanillaquay/vanillaquay/peer"
 	"github.com/vanillaquay/vanillaquay/platform"
 	"github.com/vanillaquay/vanillaquay/scheduler"
@@ -57,6 +58,7 @@
 	ready.Get(platform.PathReady, h.serveReady)
 	links := chi.NewRouter()
 	links.Handle(peer.Path, h.hub)
+	links.Post(mirror.Path, h.operatorTable.ServeHTTP)
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.serveMetrics)
 	debug.Get("/dump", h.serveDump)
@@ -161,6 +163,8 @@
 	line("store_calls_total", h.store.Calls.Load())
 	line("store_read_bytes_total", h.store.ReadBytes.Load())
 	line("store_read_bytes_lost_total", h.store.LostReadBytes.Load())
+	line("configuration_from_hosts_total", h.operatorTable.FromHosts.Load())
+	line("configuration_asks_failed_total", h.operatorTable.FailedAsks.Load())
 	line("takeovers_total", h.takeovers.Load())
 	refused, requests := h.refusals(), h.requestMemory.Stats()
 	line("connections_refused_total", refused.ConnectionsRefused)
--- a/front/shared_link_test.go
+++ b/front/shared_link_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,9 +45,24 @@
 		p.ShareRate(link)
 		return p.Address()
 	})
+	for _, h := range d.hosts {
+		d.await(h.name+" knows all members", func() bool { return d.memberCount(h) == len(d.hosts) })
+	}
+	// Calls to the store from before the members were known wait for a fifth of that time.
+	time.Sleep(catalogueTime / 4)
 	return d, d.hosts[1:]
 }
 
+// memberCount returns the number of hosts that a host knows.
+func (d *deployment) memberCount(h *hostProcess) int {
+	r, err := http.Get(fmt.Sprintf("http://%s:9464/dump", h.ip))
+	qt.Assert(d.t, err, qt.IsNil)
+	defer r.Body.Close()
+	var dump struct{ Members []string }
+	qt.Assert(d.t, json.NewDecoder(r.Body).Decode(&dump), qt.IsNil)
+	return len(dump.Members)
+}
+
 // putLargeVersion writes a version of 1,450 queues.
 func (d *deployment) putLargeVersion(version int) {
 	var queues []platformstandin.Queue
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -366,27 +366,32 @@
 // ReadAll returns all rows of one part of a table, and the version of the store as of the
 // first page. A row that changes while later pages are read has a higher version.
 func ReadAll(ctx context.Context, store Store, table, part string) ([]Row, Version, error) {
-	var rows []Row
-	var version Version
+	p, err := readAll(ctx, store, table, part)
+	return p.Rows, p.Version, err
+}
+
+// readAll is like ReadAll, and returns the source of the first page too.
+func readAll(ctx context.Context, store Store, table, part string) (Page, error) {
+	var all Page
 	from := ""
 	for {
 		page, err := store.Rows(ctx, table, part, from, pageSize)
 		if err != nil {
-			return nil, 0, errors.Annotatef(err, "reading table %s", table)
+			return Page{}, errors.Annotatef(err, "reading table %s", table)
 		}
 		if from == "" {
-			version = page.Version
+			all.Version, all.Source = page.Version, page.Source
 		}
 		added := page.Rows
 		for len(added) > 0 && from != "" && added[0].Key <= from {
 			added = added[1:]
 		}
-		rows = append(rows, added...)
+		all.Rows = append(all.Rows, added...)
 		if !page.More || len(page.Rows) == 0 {
-			return rows, version, nil
+			return all, nil
 		}
 		if len(added) == 0 || added[len(added)-1].Key <= from {
-			return nil, 0, errors.Errorf("reading table %s: no row after %q", table, from)
+			return Page{}, errors.Errorf("reading table %s: no row after %q", table, from)
 		}
 		// The last key is read again: one that follows it may be longer than keys may be.
 		from = added[len(added)-1].Key
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -36,8 +36,23 @@
 	More bool
 	// Version is the latest version of the store.
 	Version Version
+	// Source tells how many hosts read such a page over the same links.
+	Source Source
 }
 
+// Source tells where a page was read.
+type Source int
+
+// Sources of a page. The zero value is the costliest for links that hosts share.
+const (
+	// FromStore is the store, from which other hosts read as well.
+	FromStore Source = iota
+	// FromStoreForRegion is the store, from which this host reads for others of its region.
+	FromStoreForRegion
+	// FromHost is another host of the region.
+	FromHost
+)
+
 const (
 	// ErrUnavailable means that the store did not carry out the request.
 	ErrUnavailable = errors.ConstError("store unavailable: request not carried out")
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -36,7 +36,8 @@
 	// LargeRowPause is the longest pause after a large row has changed; 0 means none. The rows
 	// are listed after it, so that of the versions written meanwhile only the newest is read:
 	// a feed returns each of them to each host, over the same links. The pause is up to a third
-	// shorter, at random, so that the hosts do not read at the same time.
+	// shorter, at random, so that the hosts do not read at the same time, and two thirds as long
+	// if this host alone reads from the store in its region. There is none after rows of another host.
 	LargeRowPause time.Duration
 	// FeedWait is how long a feed call waits for a change; 0 means defaultFeedWait.
 	FeedWait time.Duration
@@ -79,7 +80,7 @@
 				w.OnSuccess()
 			}
 			if p.hasLargeChange {
-				pause = max(pause, w.largeRowPause())
+				pause = max(pause, w.largeRowPause(p.source))
 			}
 		case errors.Is(err, ErrHistoryDropped) && relisting:
 			// The list did not help, and may not help again.
@@ -110,6 +111,8 @@
 	// hasLargeChange reports whether the last call returned a change of a large row, for which
 	// alone the rows are listed after a pause.
 	hasLargeChange bool
+	// source is where the last call was answered.
+	source Source
 	// feedAfterFailedList reports whether the feed follows if the list fails, rather than
 	// another list.
 	feedAfterFailedList bool
@@ -118,7 +121,7 @@
 // step makes the next call and returns the new state.
 func (w Watch) step(ctx context.Context, p watchState) (watchState, error) {
 	if p.needsList {
-		after, large, err := w.list(ctx, p.after)
+		page, large, err := w.list(ctx, p.after)
 		if err != nil {
 			if p.feedAfterFailedList {
 				// A list has less time for its answer than a feed, and a slow link may need more.
@@ -126,13 +129,13 @@
 			}
 			return p, err
 		}
-		return watchState{after: after, needsList: large, needsRelist: p.needsRelist, hasLargeChange: large, feedAfterFailedList: large}, nil
+		return watchState{after: page.Version, needsList: large, needsRelist: p.needsRelist, hasLargeChange: large, source: page.Source, feedAfterFailedList: large}, nil
 	}
 	wait := w.feedWait()
 	if p.needsRelist {
 		wait = min(wait, relistFeedWait)
 	}
-	after, large, err := w.readFeed(ctx, p.after, wait)
+	page, large, err := w.readFeed(ctx, p.after, wait)
 	switch {
 	case errors.Is(err, ErrHistoryDropped):
 		return watchState{needsList: true, needsRelist: true}, err
@@ -142,7 +145,8 @@
 		return p, err
 	default:
 		onlyLarge := large && !p.needsRelist
-		return watchState{after: after, needsList: p.needsRelist || large, hasLargeChange: onlyLarge, feedAfterFailedList: onlyLarge}, nil
+		after := max(p.after, page.Version)
+		return watchState{after: after, needsList: p.needsRelist || large, hasLargeChange: onlyLarge, source: page.Source, feedAfterFailedList: onlyLarge}, nil
 	}
 }
 
@@ -154,38 +158,41 @@
 }
 
 // largeRowPause returns the next pause after a change of a large row.
-func (w Watch) largeRowPause() time.Duration {
-	return w.LargeRowPause - rand.N(w.LargeRowPause/3+1)
+func (w Watch) largeRowPause(source Source) time.Duration {
+	pause := w.LargeRowPause - rand.N(w.LargeRowPause/3+1)
+	if source == FromStoreForRegion {
+		pause = pause * 2 / 3
+	}
+	return pause
 }
 
-// hasLargeChange reports whether one of the rows is large and newer than a version.
-func (w Watch) hasLargeChange(rows []Row, after Version) bool {
-	return w.LargeRowPause > 0 && slices.ContainsFunc(rows, func(r Row) bool {
+// hasLargeChange reports whether a page read from the store has a large row that is newer than a
+// version.
+func (w Watch) hasLargeChange(p Page, after Version) bool {
+	return w.LargeRowPause > 0 && p.Source != FromHost && slices.ContainsFunc(p.Rows, func(r Row) bool {
 		return r.Part == w.Part && r.Version > after && len(r.Value) >= largeRow
 	})
 }
 
-// list reads and reports all rows. It returns the version of the list, and whether a large
-// row has changed since a version.
-func (w Watch) list(ctx context.Context, since Version) (version Version, large bool, err error) {
-	rows, version, err := ReadAll(ctx, w.Store, w.Table, w.Part)
+// list reads and reports all rows. It reports whether a large row has changed since a version.
+func (w Watch) list(ctx context.Context, since Version) (page Page, large bool, err error) {
+	page, err = readAll(ctx, w.Store, w.Table, w.Part)
 	if err != nil {
-		return 0, false, err
+		return Page{}, false, err
 	}
-	large = w.hasLargeChange(rows, since)
+	large = w.hasLargeChange(page, since)
 	if w.OnList != nil {
-		w.OnList(rows)
-		return version, large, nil
+		w.OnList(page.Rows)
+		return page, large, nil
 	}
-	for _, r := range rows {
+	for _, r := range page.Rows {
 		w.OnChange(r)
 	}
-	return version, large, nil
+	return page, large, nil
 }
 
-// readFeed makes one feed call and reports its changes. It returns the version from which
-// the feed continues, and whether a large row has changed.
-func (w Watch) readFeed(ctx context.Context, after Version, wait time.Duration) (version Version, large bool, err error) {
+// readFeed makes one feed call and reports its changes, and whether a large row has changed.
+func (w Watch) readFeed(ctx context.Context, after Version, wait time.Duration) (page Page, large bool, err error) {
 	select {
 	case <-w.Reissue:
 	default:
@@ -199,15 +206,15 @@
 		case <-limited.Done():
 		}
 	}()
-	page, err := w.Store.Feed(limited, w.Table, after, wait)
+	page, err = w.Store.Feed(limited, w.Table, after, wait)
 	if err != nil {
 		if errors.Is(context.Cause(limited), errReissue) {
-			return after, false, errReissue
+			return Page{}, false, errReissue
 		}
-		return after, false, err
+		return Page{}, false, err
 	}
 	w.reportNewest(page.Rows)
-	return max(after, page.Version), w.hasLargeChange(page.Rows, after), nil
+	return page, w.hasLargeChange(page, after), nil
 }
 
 // reportNewest reports the newest version of each row of the watched part.
--- /dev/null
+++ b/mirror/order.go
@@ -0,0 +1,60 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// fanOut is the number of hosts that ask the same host.
+	fanOut = 16
+	// minDistrust and maxDistrust bound how long a host that failed is not asked; the time doubles with
+	// each failure in a row.
+	minDistrust = time.Second
+	maxDistrust = 30 * time.Second
+)
+
+// Peer is a host of the region.
+type Peer struct {
+	Name, Address string
+	// Processors is its share of processor time, in cores. Hosts with more are asked first.
+	Processors float64
+}
+
+// distrust is what a host remembers of one that failed.
+type distrust struct {
+	until    time.Duration
+	duration time.Duration
+}
+
+// order decides whom a host asks. The zero value trusts all hosts.
+type order struct {
+	distrusted map[string]distrust
+}
+
+// above returns the host to ask, or false if this one is the root of the tree: no host before it
+// in the order is trusted.
+func (o *order) above(now time.Duration, self string, peers []Peer) (Peer, bool) {
+	sorted := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Name != self && now < o.distrusted[p.Name].until })
+	slices.SortFunc(sorted, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Name, b.Name))
+	})
+	i := slices.IndexFunc(sorted, func(p Peer) bool { return p.Name == self })
+	if i <= 0 {
+		return Peer{}, false
+	}
+	return sorted[(i-1)/fanOut], true
+}
+
+// fail notes that a host did not answer, or knows less than others.
+func (o *order) fail(now time.Duration, name string) {
+	if o.distrusted == nil {
+		o.distrusted = map[string]distrust{}
+	}
+	d := min(maxDistrust, max(minDistrust, 2*o.distrusted[name].duration))
+	o.distrusted[name] = distrust{until: now + d, duration: d}
+}
+
+// succeed notes that a host has answered.
+func (o *order) succeed(name string) { delete(o.distrusted, name) }
