--- a/front/serve.go
+++ b/front/serve.go
@@ -58,7 +58,7 @@
 	ready.Get(platform.PathReady, h.serveReady)
 	links := chi.NewRouter()
 	links.Handle(peer.Path, h.hub)
-	links.Post(mirror.Path, h.operatorTable.ServeHTTP)
+	links.Handle(mirror.Path, h.operatorTable)
 	debug := chi.NewRouter()
 	debug.Get(MetricsPath, h.serveMetrics)
 	debug.Get("/dump", h.serveDump)
--- a/mirror/order.go
+++ b/mirror/order.go
@@ -33,18 +33,18 @@
 	distrusted map[string]distrust
 }
 
-// above returns the host to ask, or false if this one is the root of the tree: no host before it
-// in the order is trusted.
-func (o *order) above(now time.Duration, self string, peers []Peer) (Peer, bool) {
+// above returns the hosts to ask, the best first, or none if this one is the root of the tree: no
+// host before it in the order is trusted.
+func (o *order) above(now time.Duration, self string, peers []Peer) []Peer {
 	sorted := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Name != self && now < o.distrusted[p.Name].until })
 	slices.SortFunc(sorted, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Name, b.Name))
 	})
 	i := slices.IndexFunc(sorted, func(p Peer) bool { return p.Name == self })
 	if i <= 0 {
-		return Peer{}, false
+		return nil
 	}
-	return sorted[(i-1)/fanOut], true
+	return sorted[(i-1)/fanOut : i]
 }
 
 // fail notes that a host did not answer, or knows less than others.
--- a/mirror/store.go
+++ b/mirror/store.go
@@ -34,6 +34,9 @@
 	maxAgeShare = 0.5
 )
 
+// maxProbes is the number of hosts that are probed after one has failed.
+const maxProbes = 5
+
 const (
 	// errNothingRecent means that another host has nothing recent to tell.
 	errNothingRecent = errors.ConstError("host knows nothing recent")
@@ -183,18 +186,18 @@
 	}
 	begun := clock.Now()
 	for ctx.Err() == nil && clock.Now()-begun < s.share(searchShare) {
-		s.mu.Lock()
-		p, found := s.order.above(clock.Now(), s.Self, peers)
-		s.asking = p.Name
-		s.mu.Unlock()
-		if !found {
+		above := s.above(peers)
+		if len(above) == 0 {
 			return nil, errRoot
 		}
-		rows, pending, err := s.askUntilRead(ctx, p)
+		rows, pending, err := s.askUntilRead(ctx, above[0])
 		if err == nil {
 			return rows, nil
 		}
 		begun += pending
+		if ctx.Err() == nil {
+			s.probe(ctx, above[1:min(len(above), 1+maxProbes)])
+		}
 	}
 	s.mu.Lock()
 	s.asking = ""
@@ -202,6 +205,37 @@
 	return nil, errNobodyAbove
 }
 
+// above returns the hosts to ask, and notes the first of them.
+func (s *Store) above(peers []Peer) []Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	above := s.order.above(clock.Now(), s.Self, peers)
+	s.asking = ""
+	if len(above) > 0 {
+		s.asking = above[0].Name
+	}
+	return above
+}
+
+// probe finds out at once which of several hosts answer. One host that fails is often one of many, and
+// to wait for each of them takes too long.
+func (s *Store) probe(ctx context.Context, peers []Peer) {
+	var probes sync.WaitGroup
+	for _, p := range peers {
+		probes.Go(func() {
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+Path, nil)
+			if err == nil {
+				margin := s.share(marginShare)
+				_, err = transfer.Do(s.Client, r, transfer.Limits{Header: margin, Silence: margin, Bytes: maxAnswerBytes})
+			}
+			if err != nil && ctx.Err() == nil {
+				s.fail(p)
+			}
+		})
+	}
+	probes.Wait()
+}
+
 // askUntilRead asks another host for changes, and again while it is reading. It returns how long it
 // was.
 func (s *Store) askUntilRead(ctx context.Context, p Peer) (rows []ledger.Row, pending time.Duration, err error) {
--- a/mirror/wire.go
+++ b/mirror/wire.go
@@ -64,8 +64,12 @@
 }
 
 // ServeHTTP answers another host of the region. If this host has nothing recent to tell, the status is
-// 202 if it is reading, and else 503.
+// 202 if it is reading, and else 503. A GET is answered with 204 at once.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	var q request
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err == nil {
