--- a/mirror/store_test.go
+++ b/mirror/store_test.go
@@ -190,7 +190,6 @@
 	store := newFakeStore()
 	hosts := startRegion(t, store, 5)
 	hosts[0].link.delay.Store(int64(bound * 6 / 10))
-	receiving := func() bool { return true }
 	hosts[0].receiving.Store(true)
 	awaitKnown(t, hosts, store.write())
 	qt.Check(t, store.reads.Load(), qt.Equals, int64(1))
