--- a/mirror/store.go
+++ b/mirror/store.go
@@ -172,7 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.asking != "" {
-		s.order.fail(clock.Now(), s.asking)
+		s.order.distrust(clock.Now(), s.asking)
 	}
 }
 
@@ -188,6 +188,7 @@
 	for ctx.Err() == nil && clock.Now()-begun < s.share(searchShare) {
 		above := s.above(peers)
 		if len(above) == 0 {
+			s.abovePending.Store(false)
 			return nil, errRoot
 		}
 		rows, pending, err := s.askUntilRead(ctx, above[0])
@@ -229,7 +230,9 @@
 				_, err = transfer.Do(s.Client, r, transfer.Limits{Header: margin, Silence: margin, Bytes: maxAnswerBytes})
 			}
 			if err != nil && ctx.Err() == nil {
-				s.fail(p)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.order.fail(clock.Now(), p.Name)
 			}
 		})
 	}
@@ -246,22 +249,16 @@
 			return rows, pending, err
 		}
 		if pending = clock.Now() - begun; pending >= s.share(pendingShare) {
-			s.fail(p)
+			s.Distrust()
 			return nil, pending, err
 		}
 	}
 }
 
-// fail notes that another host can't be relied on.
-func (s *Store) fail(p Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.order.fail(clock.Now(), p.Name)
-}
-
-// Pending reports whether this host, or the one that it asks, is reading rows.
+// Pending reports whether this host, or the one that it asks, is reading rows. A list that follows a
+// failed read counts only once its answer arrives.
 func (s *Store) Pending() bool {
-	return s.listing.Load() || s.abovePending.Load() || s.Receiving != nil && s.Receiving()
+	return s.abovePending.Load() || s.listing.Load() && !s.table.hasFailed() || s.Receiving != nil && s.Receiving()
 }
 
 // ask makes one call to another host, and notes whether it can be relied on.
@@ -281,7 +278,10 @@
 	switch {
 	case err == nil:
 		s.order.succeed(p.Name)
-	case ctx.Err() == nil && !errors.Is(err, errPending):
+	case ctx.Err() != nil, errors.Is(err, errPending):
+	case errors.Is(err, errNothingRecent):
+		s.order.distrust(clock.Now(), p.Name)
+	default:
 		s.order.fail(clock.Now(), p.Name)
 	}
 	return rows, err
--- a/mirror/store_test.go
+++ b/mirror/store_test.go
@@ -194,3 +194,22 @@
 	awaitKnown(t, hosts, store.write())
 	qt.Check(t, store.reads.Load(), qt.Equals, int64(1))
 }
+
+// TestHostsFollowOneAgainAfterOutage guards against hosts that all read for themselves after an outage
+// of the store, because none of them could tell the others anything recent.
+func TestHostsFollowOneAgainAfterOutage(t *testing.T) {
+	store := newFakeStore()
+	hosts := startRegion(t, store, 5)
+	cutAll := func(cut bool) {
+		for _, h := range hosts {
+			h.link.cut.Store(cut)
+		}
+	}
+	cutAll(true)
+	time.Sleep(6 * bound)
+	cutAll(false)
+	time.Sleep(3 * bound)
+	store.reads.Store(0)
+	awaitKnown(t, hosts, store.write())
+	qt.Check(t, store.reads.Load(), qt.Equals, int64(1))
+}
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -59,6 +59,13 @@
 	t.failed = true
 }
 
+// hasFailed reports whether the last read from the store failed.
+func (t *table) hasFailed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failed
+}
+
 // notify wakes those that wait for a change. The caller holds t.mu.
 func (t *table) notify() {
 	if t.changed != nil {
