cell, workload, platform, scheduler: an accepted job keeps the policy of its queue

Hypotheses: the step is passed over as its queue is unknown; its dependency does not count as done; the job is gone from the owner; no worker matches.

Cause: a job kept the name of its queue only, and Schedule, preemption, the count of failures, objectives and overdue jobs each looked the name up in the newest catalogue. No owner that started later could know what the name had meant.

Change: a job has the policy of its queue from the host that admitted it (workload.Policy), in the call and in the record. Attempts and objective hold from the acceptance; service, priority and advice follow the newest version that has the queue, and stay as they were last without one; a placement that has changed is recorded with the progress. An owner that has read no catalogue starts nothing, as it knows no limits. Jobs and calls of earlier versions of the program get the policy of the first version with their queue; if their attempts have run out by then, they fail before anything starts.

The load log has `orphaned`, and a line tells of a version that removes queues with accepted jobs. - a host that is ahead of the owner, or behind: the policy comes with the call (TestPolicyNewerThanTheCatalogue). - own deployments (`serve`): work names no queue; teams that are removed get defaults.

TestRemovedQueueStartsNothing asked that an accepted job stops with its queue. In its place are TestRemovedQueueStartsTasksOnItsServiceOnly (no start elsewhere, nor on a worker without a service) and TestUnknownQueueStartsNothing (nothing for a queue that no version had).

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -39,3 +39,30 @@
 		w.schedule()
 	}
 }
+
+// BenchmarkNewVersion measures a version of thousands of queues beside a backlog of 1,000 jobs, which it
+// moves to another service and back.
+func BenchmarkNewVersion(b *testing.B) {
+	const queues, jobs = 3000, 1000
+	versions := make([]workload.Catalogue, 2)
+	for i := range versions {
+		for n := range queues {
+			versions[i].Queues = append(versions[i].Queues, workload.Queue{Name: id(n), Host: "host.example", Prefix: "/" + id(n) + "/", Service: []string{"S", "T"}[i], MaxAttempts: 3, Stretch: 2, Allowance: second})
+		}
+	}
+	w := newWorld(0)
+	for n := range jobs {
+		j := job(id(n), id(n%queues), 4, nil)
+		j.Policy = versions[0].Queues[n].Policy(1)
+		w.Submit(w.now, j)
+	}
+	version := int64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		version++
+		next := versions[version%2]
+		next.Version = version
+		w.SetCatalogue(next)
+		w.TakeOutput()
+	}
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -50,8 +50,10 @@
 	rotationIndex int
 	// changedJobs holds the jobs whose record is out of date, in order of change.
 	changedJobs []*job
-	actions     Actions
-	logEntries  []LogEntry
+	// adopted holds the jobs that got a policy from the catalogue since the last scheduling pass.
+	adopted    []*job
+	actions    Actions
+	logEntries []LogEntry
 	// stale reports whether a task may now be placed that could not be placed before.
 	stale bool
 	// wallClock is the time of the last Tick in milliseconds since 1970.
@@ -95,6 +97,9 @@
 	}
 	c.catalogue, c.queues = catalogue, catalogue.QueuesByName()
 	c.usage.SetLimits(catalogue.Organisations)
+	for _, j := range c.jobs {
+		c.followCatalogue(j)
+	}
 	c.stale = true
 }
 
--- a/cell/explain.go
+++ b/cell/explain.go
@@ -34,8 +34,11 @@
 
 // Explanation is the answer to a Query. Times are in seconds from now, negative in the past.
 type Explanation struct {
-	Job          string
-	Queue        string
+	Job   string
+	Queue string
+	// QueueRemoved reports whether the operator has removed the queue. The job runs on as it was
+	// accepted.
+	QueueRemoved bool           `json:",omitempty"`
 	Organisation string         `json:",omitempty"`
 	State        workload.State `json:",omitempty"`
 	// Refused is why a new job would be refused; "" is that it would be accepted.
@@ -105,7 +108,8 @@
 	CauseDependencies Cause = "Dependencies"
 	CauseBackoff      Cause = "Backoff"
 	CauseMembers      Cause = "Members"
-	// CauseRouting is a queue that is not in the operator's configuration.
+	// CauseRouting is a queue that no configuration known to the owner has or had, or the lack of any
+	// configuration.
 	CauseRouting Cause = "Routing"
 	// CauseLimit is the limit of the organisation.
 	CauseLimit Cause = "Limit"
@@ -147,9 +151,9 @@
 		return Explanation{}, errors.NotFoundf("job %q", q.Job)
 	}
 	v.updateEstimates(j)
-	objective := j.objective(v.queues[j.Queue])
+	objective := j.objective(j.queue)
 	e := Explanation{
-		Job: j.ID, Queue: j.Queue, Organisation: j.Organisation, State: j.state, BeyondShare: j.BeyondShare,
+		Job: j.ID, Queue: j.Queue, QueueRemoved: c.isOrphaned(j), Organisation: j.Organisation, State: j.state, BeyondShare: j.BeyondShare,
 		AgeSeconds: seconds(now - j.acceptedAt), ObjectiveSeconds: seconds(objective), DueSeconds: seconds(j.acceptedAt + objective - now),
 		Used: v.usage.Used(j.Organisation), Limit: v.usage.Limit(j.Organisation), UndueOccurrences: j.Occurrences() - j.dueCount,
 	}
--- a/cell/explain_pass.go
+++ b/cell/explain_pass.go
@@ -202,6 +202,14 @@
 	p.preempted = len(preempted)
 }
 
+// routingDetail tells why no run of a job may start.
+func (p *explainPass) routingDetail(j *job) string {
+	if j.policy.IsZero() {
+		return "the queue is not in the operator's configuration"
+	}
+	return "the owner has not read the operator's configuration"
+}
+
 // planAlone takes room for the tasks of a step that is no gang, and returns their workers.
 func (p *explainPass) planAlone(s *step, allowed []*worker) (plan []*worker) {
 	planned, full := map[*worker]int{}, map[*worker]bool{}
@@ -241,7 +249,7 @@
 	lacksTickets := r.queue.Advice != nil && fitting >= max(s.tasksToStart(), s.waitingTaskCount(p.now)-missing+1)
 	switch {
 	case !r.routed:
-		return Wait{CauseRouting, missing, "the queue is not in the operator's configuration"}
+		return Wait{CauseRouting, missing, p.routingDetail(s.job)}
 	case p.headroomCount(s) < s.tasksToStart():
 		return p.limitWait(s, missing)
 	case r.asks():
--- a/cell/job.go
+++ b/cell/job.go
@@ -12,6 +12,10 @@
 type job struct {
 	workload.Job
 	state workload.State
+	// policy is that of the job now: that under which it was accepted, with the placement of the
+	// newest catalogue that has its queue. queue is a queue with that policy.
+	policy workload.Policy
+	queue  workload.Queue
 	// acceptedAt is when the job was submitted, on the cell's clock; it precedes this owner's
 	// tenure if an earlier owner accepted the job.
 	acceptedAt time.Duration
@@ -111,16 +115,18 @@
 	if c.jobs[w.ID] != nil {
 		return false
 	}
-	j := c.newJob(w, now)
+	j := c.newJob(w, w.Policy, now)
 	c.addJob(j)
 	c.addDueOccurrences(now, j)
 	c.markChanged(j)
-	c.log(LogEntry{Event: "job submitted", Job: w.ID, Reason: w.Queue, Objective: j.objective(c.queues[w.Queue]), Work: j.work})
+	c.log(LogEntry{Event: "job submitted", Job: w.ID, Reason: w.Queue, Objective: j.objective(j.queue), Work: j.work})
 	return true
 }
 
-func (c *Cell) newJob(w workload.Job, acceptedAt time.Duration) *job {
-	j := &job{Job: w, state: workload.Queued, acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps)), estimatedAt: neverEstimated}
+// newJob returns a job that has not begun. policy is that of its last record.
+func (c *Cell) newJob(w workload.Job, policy workload.Policy, acceptedAt time.Duration) *job {
+	j := &job{Job: w, state: workload.Queued, policy: policy, queue: policy.Queue(w.Queue), acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps)), estimatedAt: neverEstimated}
+	c.followCatalogue(j)
 	c.updateEstimates(j)
 	return j
 }
--- a/cell/load.go
+++ b/cell/load.go
@@ -15,8 +15,11 @@
 	// Steps is the number of steps with waiting tasks. Of these steps, Gangs counts the gangs,
 	// and Unadvised those that need a first answer from the advice service.
 	Steps, Gangs, Unadvised int
-	// Unrouted is the number of steps whose queue is not in the operator's catalogue.
+	// Unrouted is the number of steps whose runs may not start, as the policy of their queue is not
+	// known or the operator's catalogue has not been read.
 	Unrouted int
+	// Orphaned is the number of jobs whose queue the operator has removed.
+	Orphaned int
 	// Wanted is the demand of the waiting tasks, in thousandths of a processor.
 	Wanted int64
 	Jobs   int
@@ -24,7 +27,7 @@
 
 // Load returns the current load.
 func (c *Cell) Load(now time.Duration) Load {
-	l := Load{Jobs: len(c.jobs)}
+	l := Load{Jobs: len(c.jobs), Orphaned: c.OrphanedJobCount()}
 	for _, w := range c.sortedWorkers {
 		if c.usable(now, w) {
 			l.Usable++
--- a/cell/overdue.go
+++ b/cell/overdue.go
@@ -23,11 +23,10 @@
 		if !j.BeyondShare || j.state != workload.Queued || j.Schedule.Count > 0 {
 			continue
 		}
-		queue, routed := c.queues[j.Queue]
-		if !routed {
+		if !c.mayStart(j) {
 			continue
 		}
-		useful := expiryFactor*j.objective(queue) - j.longestChain
+		useful := expiryFactor*j.objective(j.queue) - j.longestChain
 		if waited := now - j.acceptedAt; waited > useful && waited <= maxOverdueFactor*useful {
 			c.overdue[j.Organisation] = true
 		}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -132,12 +132,11 @@
 	if r.state != running || r.number != 1 || r.percent > maxPreemptPercent {
 		return false
 	}
-	queue, routed := c.queues[s.job.Queue]
-	if !routed {
+	if !c.mayStart(s.job) {
 		return false
 	}
 	c.updateEstimates(s.job)
-	return (s.job.BeyondShare || now+minPreemptSlack < s.latestStart(queue)) && !c.endsSoon(now, s, r)
+	return (s.job.BeyondShare || now+minPreemptSlack < s.latestStart(s.job.queue)) && !c.endsSoon(now, s, r)
 }
 
 // preempt stops runs to make room for a gang. They resume elsewhere from their checkpoints.
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -17,7 +17,7 @@
 // rankedStep is a step with the values that decide its scheduling order.
 type rankedStep struct {
 	*step
-	// queue is the queue of the job; routed reports whether it is still in the catalogue.
+	// queue is the queue of the job with its policy; routed reports whether runs may start.
 	queue    workload.Queue
 	routed   bool
 	lateness lateness
@@ -42,7 +42,7 @@
 )
 
 func (c *Cell) rankStep(now time.Duration, s *step) rankedStep {
-	queue, routed := c.queues[s.job.Queue]
+	queue, routed := s.job.queue, c.mayStart(s.job)
 	c.updateEstimates(s.job)
 	s.tightDeadline, s.deadline = s.job.hasTightDeadline(queue), c.deadlineOf(now, s, queue)
 	r := rankedStep{step: s, queue: queue, routed: routed, startBy: s.latestStart(queue), work: s.job.work}
--- a/cell/record.go
+++ b/cell/record.go
@@ -7,6 +7,8 @@
 	State workload.State `cbor:"1,keyasint"`
 	// Steps holds the steps that have had a run.
 	Steps []StepProgress `cbor:"2,keyasint,omitempty"`
+	// Policy is nil while the placement is that under which the job was accepted.
+	Policy *workload.Policy `cbor:"3,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one occurrence of a step.
@@ -77,7 +79,7 @@
 
 // progress returns the current progress of a job for its record.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state}
+	p := Progress{State: j.state, Policy: j.recordedPolicy()}
 	for _, s := range j.steps {
 		if s.hadRun {
 			p.Steps = append(p.Steps, s.progress())
--- a/cell/record_part.go
+++ b/cell/record_part.go
@@ -32,14 +32,15 @@
 }
 
 // Parts divides the progress of a job into parts of bounded size. Each covers the same tasks
-// in every record of the job, so that it changes only with these. Part 0 holds the state.
+// in every record of the job, so that it changes only with these. Part 0 holds the state and the
+// policy.
 func (p Progress) Parts(j workload.Job) map[int]Progress {
 	offsets, total := make([]int, len(j.Steps)), 0
 	for i, s := range j.Steps {
 		offsets[i] = total
 		total += s.TaskCount
 	}
-	parts := map[int]Progress{0: {State: p.State}}
+	parts := map[int]Progress{0: {State: p.State, Policy: p.Policy}}
 	for _, s := range p.Steps {
 		position := s.Occurrence*total + s.First
 		if s.Step < len(offsets) {
@@ -75,7 +76,7 @@
 			failedRun[key] = max(failedRun[key], s.FailedRun)
 		}
 	}
-	joined := Progress{State: parts[0].State}
+	joined := Progress{State: parts[0].State, Policy: parts[0].Policy}
 	for key, list := range tasks {
 		joined.Steps = append(joined.Steps, StepProgress{Occurrence: key.occurrence, Step: key.step, FailedRun: failedRun[key], Tasks: list})
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -163,8 +163,7 @@
 	if t.done {
 		return
 	}
-	queue, known := c.queues[s.job.Queue]
-	if s.Gang || t.failures > 0 || queue.MaxAttempts < minAttemptsForRetry {
+	if s.Gang || t.failures > 0 || s.job.policy.MaxAttempts < minAttemptsForRetry {
 		t.notBefore = now + failureBackoff
 	}
 	if s.Gang && s.lastFailedRun == e.Run {
@@ -180,7 +179,7 @@
 		}
 	}
 	c.markChanged(s.job)
-	if s.Daemon || !known || t.failures < queue.MaxAttempts {
+	if s.Daemon || s.job.policy.IsZero() || t.failures < s.job.policy.MaxAttempts {
 		return
 	}
 	c.finish(now, s.job, workload.Failed, "task "+e.Task.String()+" has no attempts left")
--- a/cell/restore.go
+++ b/cell/restore.go
@@ -12,7 +12,7 @@
 // granted up to bound has expired.
 func (c *Cell) Restore(now, bound time.Duration, w workload.Job, p Progress) {
 	age := time.Duration(c.wallClock-w.Accepted) * time.Millisecond
-	j := c.newJob(w, now-max(0, age))
+	j := c.newJob(w, policyFromRecord(w, p), now-max(0, age))
 	j.recorded = true
 	if p.State != "" {
 		j.state = p.State
--- a/cell/rule_route_test.go
+++ b/cell/rule_route_test.go
@@ -27,22 +27,51 @@
 	c.Assert(w.startedOn(id(1))[5:], qt.DeepEquals, []string{"z0", "z0"})
 }
 
-// ROUTE, CONFIG: a queue is removed while its tasks wait.
-func TestRemovedQueueStartsNothing(t *testing.T) {
+// addWorkersElsewhere adds idle workers of another service and without a service.
+func (w *world) addWorkersElsewhere() {
+	for id, service := range map[string]string{"z0": "T", "z1": ""} {
+		f := w.addWorker(id, "r0")
+		f.Service = service
+		w.HandleAnnouncement(w.now, f.Worker)
+	}
+}
+
+// ROUTE: a queue is removed while its tasks wait. They start on the service to which it sent them, and
+// on no other.
+func TestRemovedQueueStartsTasksOnItsServiceOnly(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(1)
 	w.submit(job(id(1), "Plain", 7, nil))
 	next := catalogue()
 	next.Version, next.Queues = 2, next.Queues[1:]
 	w.SetCatalogue(next)
-	// A worker without a service must not match a queue that does not exist.
-	f := w.addWorker("w9", "r0")
-	f.Service = ""
-	w.HandleAnnouncement(w.now, f.Worker)
+	w.addWorkersElsewhere()
+	w.advance(2 * second)
+	c.Assert(w.starts, qt.HasLen, 5)
 	w.workers["w0"].endAll(cell.EndedDone)
 	w.reportAll()
 	w.advance(2 * second)
-	c.Assert(w.starts, qt.HasLen, 5)
+	c.Assert(w.startedOn(id(1))[5:], qt.DeepEquals, []string{"w0", "w0"})
+}
+
+// ROUTE, CONFIG: no version that the owner knows has had the queue of a job, which an earlier version of
+// the program accepted.
+func TestUnknownQueueStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	next := catalogue()
+	next.Version, next.Queues = 2, next.Queues[1:]
+	w.SetCatalogue(next)
+	// A worker without a service must not match a queue that does not exist.
+	w.addWorkersElsewhere()
+	w.submit(job(id(1), "Plain", 7, nil))
+	w.reportAll()
+	w.advance(2 * second)
+	c.Assert(w.starts, qt.HasLen, 0)
+	next.Version, next.Queues = 3, catalogue().Queues
+	w.SetCatalogue(next)
+	w.advance(second)
+	c.Assert(w.startedOn(id(1)), qt.DeepEquals, []string{"w0", "w0", "w0", "w0", "w0"})
 }
 
 // CONFIG: an older version that arrives late would restore a route that was removed.
--- a/cell/schedule.go
+++ b/cell/schedule.go
@@ -113,6 +113,7 @@
 		return
 	}
 	c.stale = false
+	c.failExhausted(now)
 	c.resetScan()
 	holdingGangs := 0
 	steps := c.waitingSteps(now)
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -121,7 +121,11 @@
 		return
 	}
 	if e.Job != "" {
-		fmt.Fprintf(w, "queue %s, accepted %.1f s ago\n", e.Queue, e.AgeSeconds)
+		removed := ""
+		if e.QueueRemoved {
+			removed = " (removed by the operator; the job runs on)"
+		}
+		fmt.Fprintf(w, "queue %s%s, accepted %.1f s ago\n", e.Queue, removed, e.AgeSeconds)
 	}
 	if e.Refused != "" {
 		fmt.Fprintf(w, "would be refused: %s\n", e.Refused)
--- a/scheduler/job_page.go
+++ b/scheduler/job_page.go
@@ -170,12 +170,16 @@
 	return j.Schedule.Count > 0 || slices.ContainsFunc(j.Steps, func(s workload.Step) bool { return s.Daemon })
 }
 
-// maxStepBytes bounds the encoded size of a step without its strings.
-const maxStepBytes = 128
+// maxStepBytes bounds the encoded size of a step without its strings, and maxPolicyBytes that of a
+// policy.
+const (
+	maxStepBytes   = 128
+	maxPolicyBytes = 96
+)
 
 // estimateSize estimates the encoded size of a job. The result tends to be too high.
 func estimateSize(j workload.Job) int {
-	size := len(j.Spec) + len(j.Organisation) + 2*maxStepBytes
+	size := len(j.Spec) + len(j.Organisation) + j.Policy.Bytes() + 2*maxStepBytes + maxPolicyBytes
 	for _, s := range j.Steps {
 		size += maxStepBytes + 9*len(s.After) + len(s.Requires) + len(s.Affinity) + len(s.Image)
 	}
--- a/scheduler/large_job_test.go
+++ b/scheduler/large_job_test.go
@@ -28,9 +28,13 @@
 )
 
 // longProgress returns the progress of a job whose tasks all have as much to record as a task
-// can have: two runs on workers with the longest IDs, and the longest checkpoint.
+// can have: two runs on workers with the longest IDs, and the longest checkpoint. The job has been moved to
+// the service with the longest name.
 func longProgress(j workload.Job) cell.Progress {
-	p := cell.Progress{State: workload.Running}
+	p := cell.Progress{State: workload.Running, Policy: &workload.Policy{
+		Version: 1 << 60, Service: strings.Repeat("s", cell.MaxServiceBytes), Priority: 1 << 30, MaxAttempts: 1 << 30, Stretch: 1.1, Allowance: 1 << 60,
+		Advice: &workload.Advice{BaseDuration: 1 << 60, PerWorkerDuration: 1 << 60, TicketLifetime: 1 << 60},
+	}}
 	for k := range j.Occurrences() {
 		for i, s := range j.Steps {
 			step := cell.StepProgress{Occurrence: k, Step: i}
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -30,7 +30,7 @@
 	o.log.WithFields(logrus.Fields{
 		"jobs": l.Jobs, "workers": l.Usable, "paused": l.Paused, "silent": l.Silent,
 		"processors": l.Capacity / 1000, "used": l.Used / 1000, "held": l.Held / 1000, "wanted": l.Wanted / 1000,
-		"steps": l.Steps, "gangs": l.Gangs, "unadvised": l.Unadvised, "unrouted": l.Unrouted, "questions": o.dispatcher.QueueLength(), "commit_ms": o.meanCommitTime.Milliseconds(),
+		"steps": l.Steps, "gangs": l.Gangs, "unadvised": l.Unadvised, "unrouted": l.Unrouted, "orphaned": l.Orphaned, "questions": o.dispatcher.QueueLength(), "commit_ms": o.meanCommitTime.Milliseconds(),
 	}).Info("scheduler: load")
 }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -202,6 +202,9 @@
 		o.cell.SetCatalogue(*c)
 		o.admission.SetWeights(o.cell.Organisations())
 		o.appliedCatalogue = c
+		if n := o.cell.OrphanedJobCount(); n > 0 {
+			o.log.WithFields(logrus.Fields{"version": c.Version, "jobs": n}).Info("scheduler: queues with accepted jobs are not configured any more; the jobs run on")
+		}
 	}
 }
 
--- a/workload/catalogue.go
+++ b/workload/catalogue.go
@@ -52,9 +52,10 @@
 // Advice describes the operator's service that decides which workers may run a step.
 type Advice struct {
 	// A question takes BaseDuration, and PerWorkerDuration for each worker that it names.
-	BaseDuration, PerWorkerDuration time.Duration
+	BaseDuration      time.Duration `cbor:"1,keyasint,omitempty"`
+	PerWorkerDuration time.Duration `cbor:"2,keyasint,omitempty"`
 	// TicketLifetime is how long a ticket is valid.
-	TicketLifetime time.Duration
+	TicketLifetime time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // QuestionDuration returns the duration of a question that names a number of workers.
--- a/workload/job.go
+++ b/workload/job.go
@@ -39,6 +39,9 @@
 	// BeyondShare reports whether the job exceeded the share of its organisation when it was
 	// accepted. It then comes after all jobs that are within.
 	BeyondShare bool `cbor:"8,keyasint,omitempty"`
+	// Policy is that of the queue when it accepted the job. It is zero in records and calls of
+	// earlier versions of this program.
+	Policy Policy `cbor:"9,keyasint,omitempty"`
 }
 
 // Schedule repeats the steps of a job at given times.
@@ -106,7 +109,7 @@
 
 // Bytes returns roughly how much memory a job takes.
 func (j Job) Bytes() int64 {
-	size := int(unsafe.Sizeof(j)) + len(j.ID) + len(j.Queue) + len(j.Spec)
+	size := int(unsafe.Sizeof(j)) + len(j.ID) + len(j.Queue) + len(j.Spec) + j.Policy.Bytes()
 	for _, s := range j.Steps {
 		size += int(unsafe.Sizeof(s)) + len(s.After)*int(unsafe.Sizeof(0)) + len(s.Requires) + len(s.Affinity) + len(s.Image)
 	}
@@ -124,6 +127,9 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errors.NotValidf("job of %d steps", len(j.Steps))
 	}
+	if err := j.Policy.validate(); err != nil {
+		return err
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
