cell: jobs of a removed queue count as waiting at their path

Cause: WaitingJobCount compared names of queues. Change: a job has the host and the prefix at which it was accepted, and counts for the queue that has them now once its own is gone.

TestReplacedQueueCountsWaitingJobs failed before (0 in place of 1) and holds now.

--- a/cell/job.go
+++ b/cell/job.go
@@ -200,12 +200,14 @@
 	return true
 }
 
-// WaitingJobCount returns how many jobs of a queue are not known to have begun. Scheduled
-// jobs do not count.
+// WaitingJobCount returns how many jobs of a queue are not known to have begun. It includes
+// those that a removed queue accepted at the same host and prefix. Scheduled jobs do not count.
 func (c *Cell) WaitingJobCount(queue string) int {
 	n := 0
+	q, exists := c.queues[queue]
 	for _, j := range c.jobs {
-		if j.Queue == queue && !j.started && !j.state.Final() && j.Schedule.Count == 0 {
+		isIts := j.Queue == queue || exists && c.isOrphaned(j) && j.policy.Accepts(q)
+		if isIts && !j.started && !j.state.Final() && j.Schedule.Count == 0 {
 			n++
 		}
 	}
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -174,3 +174,11 @@
 	c.Check(kept.Value(), qt.IsNil)
 	c.Check(w.runningCount(), qt.Equals, 1)
 }
+
+// MIXED: a route is replaced by one of another name at the same path, where callers ask how many jobs wait.
+func TestReplacedQueueCountsWaitingJobs(t *testing.T) {
+	w := replacedAtTheSamePath()
+	qt.Check(t, w.WaitingJobCount("Other"), qt.Equals, 1)
+	qt.Check(t, w.WaitingJobCount("Twice"), qt.Equals, 0)
+	qt.Check(t, w.WaitingJobCount("Plain"), qt.Equals, 1)
+}
--- a/workload/policy.go
+++ b/workload/policy.go
@@ -57,6 +57,12 @@
 	return p.Service == other.Service && p.Priority == other.Priority && p.Advice.equal(other.Advice)
 }
 
+// Accepts reports whether a queue has the host and the prefix at which jobs with the policy were
+// accepted.
+func (p Policy) Accepts(q Queue) bool {
+	return !p.IsZero() && p.Host == q.Host && p.Prefix == q.Prefix
+}
+
 // Bytes returns roughly how much memory the policy takes beside its struct.
 func (p Policy) Bytes() int {
 	size := len(p.Host) + len(p.Prefix) + len(p.Service)
