cell: learned values of a removed queue are recorded while it has jobs

Cause: Learned left out all queues that the newest catalogue lacks. Change: it keeps those that still have jobs which are not final, and drops them with the last of these.

TestLearnedValuesLastAsLongAsJobs failed before (0 queues in place of 1) and holds now.

--- a/cell/learned.go
+++ b/cell/learned.go
@@ -17,20 +17,26 @@
 	EligibleRatios map[string]float64        `cbor:"3,keyasint,omitempty"`
 }
 
-// Learned returns what the cell has learned about the queues of the current catalogue.
+// Learned returns what the cell has learned about the queues of the current catalogue, and of removed
+// ones that still have jobs.
 func (c *Cell) Learned() Learned {
+	orphaned := map[string]bool{}
+	for _, j := range c.jobs {
+		if c.isOrphaned(j) {
+			orphaned[j.Queue] = true
+		}
+	}
+	isUsed := func(queue string) bool {
+		_, ok := c.queues[queue]
+		return ok || orphaned[queue]
+	}
 	return Learned{
-		Durations:      selectQueues(c.durations, c.isRouted),
-		Speeds:         selectQueues(c.speeds, c.isRouted),
-		EligibleRatios: selectQueues(c.eligibleRatios, c.isRouted),
+		Durations:      selectQueues(c.durations, isUsed),
+		Speeds:         selectQueues(c.speeds, isUsed),
+		EligibleRatios: selectQueues(c.eligibleRatios, isUsed),
 	}
 }
 
-func (c *Cell) isRouted(queue string) bool {
-	_, ok := c.queues[queue]
-	return ok
-}
-
 // maxLearnedBytes bounds the encoded size of what is learned about one queue, without its name,
 // which is in each of the three maps: 274 for the model of its run times, 30 for the rest.
 const maxLearnedBytes = 320
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -182,3 +182,13 @@
 	qt.Check(t, w.WaitingJobCount("Twice"), qt.Equals, 0)
 	qt.Check(t, w.WaitingJobCount("Plain"), qt.Equals, 1)
 }
+
+// Guards against an owner that records nothing of what it has learned about a removed queue: the next owner
+// would go by declared estimates for its jobs.
+func TestLearnedValuesLastAsLongAsJobs(t *testing.T) {
+	w := replacedAtTheSamePath()
+	w.RestoreLearned(cell.Learned{Speeds: map[string]cell.QueueSpeed{"Plain": {Mean: 1}, "Gone": {Mean: 1}}})
+	qt.Check(t, w.Learned().Speeds, qt.HasLen, 1)
+	w.drain()
+	qt.Check(t, w.Learned().Speeds, qt.HasLen, 0)
+}
