cell: a job holds its policy once; test of attempts without a policy

The policy was held twice in memory, as such and as a queue.

TestAttemptsRunOutWithoutAPolicy guards BUDGET for jobs that an earlier version of the program accepted; it fails without failExhausted.

--- a/cell/explain.go
+++ b/cell/explain.go
@@ -151,7 +151,7 @@
 		return Explanation{}, errors.NotFoundf("job %q", q.Job)
 	}
 	v.updateEstimates(j)
-	objective := j.objective(j.queue)
+	objective := j.objective(j.queue())
 	e := Explanation{
 		Job: j.ID, Queue: j.Queue, QueueRemoved: c.isOrphaned(j), Organisation: j.Organisation, State: j.state, BeyondShare: j.BeyondShare,
 		AgeSeconds: seconds(now - j.acceptedAt), ObjectiveSeconds: seconds(objective), DueSeconds: seconds(j.acceptedAt + objective - now),
--- a/cell/job.go
+++ b/cell/job.go
@@ -13,9 +13,8 @@
 	workload.Job
 	state workload.State
 	// policy is that of the job now: that under which it was accepted, with the placement of the
-	// newest catalogue that has its queue. queue is a queue with that policy.
+	// newest catalogue that has its queue.
 	policy workload.Policy
-	queue  workload.Queue
 	// acceptedAt is when the job was submitted, on the cell's clock; it precedes this owner's
 	// tenure if an earlier owner accepted the job.
 	acceptedAt time.Duration
@@ -119,13 +118,13 @@
 	c.addJob(j)
 	c.addDueOccurrences(now, j)
 	c.markChanged(j)
-	c.log(LogEntry{Event: "job submitted", Job: w.ID, Reason: w.Queue, Objective: j.objective(j.queue), Work: j.work})
+	c.log(LogEntry{Event: "job submitted", Job: w.ID, Reason: w.Queue, Objective: j.objective(j.queue()), Work: j.work})
 	return true
 }
 
 // newJob returns a job that has not begun. policy is that of its last record.
 func (c *Cell) newJob(w workload.Job, policy workload.Policy, acceptedAt time.Duration) *job {
-	j := &job{Job: w, state: workload.Queued, policy: policy, queue: policy.Queue(w.Queue), acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps)), estimatedAt: neverEstimated}
+	j := &job{Job: w, state: workload.Queued, policy: policy, acceptedAt: acceptedAt, chainEstimates: make([]time.Duration, len(w.Steps)), estimatedAt: neverEstimated}
 	c.followCatalogue(j)
 	c.updateEstimates(j)
 	return j
--- a/cell/overdue.go
+++ b/cell/overdue.go
@@ -26,7 +26,7 @@
 		if !c.mayStart(j) {
 			continue
 		}
-		useful := expiryFactor*j.objective(j.queue) - j.longestChain
+		useful := expiryFactor*j.objective(j.queue()) - j.longestChain
 		if waited := now - j.acceptedAt; waited > useful && waited <= maxOverdueFactor*useful {
 			c.overdue[j.Organisation] = true
 		}
--- a/cell/policy.go
+++ b/cell/policy.go
@@ -22,7 +22,6 @@
 	} else {
 		j.policy = before.WithPlacement(newest)
 	}
-	j.queue = j.policy.Queue(j.Queue)
 	if !before.HasPlacementOf(j.policy) {
 		c.markChanged(j)
 	}
@@ -32,6 +31,9 @@
 // fits a row of the store.
 const MaxServiceBytes = 1024
 
+// queue returns the queue of a job with the policy that holds for the job.
+func (j *job) queue() workload.Queue { return j.policy.Queue(j.Queue) }
+
 // recordedPolicy returns the policy of a job for its record, or nil if it is that under which the
 // job was accepted. The host and the prefix are in the record of the job itself.
 func (j *job) recordedPolicy() *workload.Policy {
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -28,7 +28,7 @@
 // read the records of the first one.
 func takeOver(c *qt.C, earlier *world, version workload.Catalogue) *world {
 	w := &world{
-		Cell: cell.New(options()), now: earlier.now, workers: earlier.workers, states: earlier.states,
+		Cell: cell.New(options()), now: earlier.now, workers: earlier.workers, states: map[string]workload.State{},
 		progress: earlier.progress, jobs: earlier.jobs,
 	}
 	w.SetCatalogue(version)
@@ -94,6 +94,24 @@
 	c.Check(after.ObjectiveSeconds, qt.Equals, before.ObjectiveSeconds)
 }
 
+// BUDGET: a job of an earlier version of the program has no policy, and its attempts ran out while its
+// route was away, which then comes back.
+func TestAttemptsRunOutWithoutAPolicy(t *testing.T) {
+	c := qt.New(t)
+	w := failedOnce(c)
+	w.failRuns(2)
+	for id, p := range w.progress {
+		p.State, p.Policy = workload.Running, nil
+		w.progress[id] = p
+	}
+	next := takeOver(c, w, workload.Catalogue{Version: 2})
+	next.advance(2 * second)
+	next.setQueues(3, "Twice")
+	next.advance(5 * second)
+	c.Check(next.starts, qt.HasLen, 0)
+	c.Check(next.states[id(1)], qt.Equals, workload.Failed)
+}
+
 // LOST: a host has a newer version than the owner, which lacks the route of the job or sends it elsewhere.
 func TestPolicyNewerThanTheCatalogue(t *testing.T) {
 	c := qt.New(t)
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	c.updateEstimates(s.job)
-	return (s.job.BeyondShare || now+minPreemptSlack < s.latestStart(s.job.queue)) && !c.endsSoon(now, s, r)
+	return (s.job.BeyondShare || now+minPreemptSlack < s.latestStart(s.job.queue())) && !c.endsSoon(now, s, r)
 }
 
 // preempt stops runs to make room for a gang. They resume elsewhere from their checkpoints.
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -42,7 +42,7 @@
 )
 
 func (c *Cell) rankStep(now time.Duration, s *step) rankedStep {
-	queue, routed := s.job.queue, c.mayStart(s.job)
+	queue, routed := s.job.queue(), c.mayStart(s.job)
 	c.updateEstimates(s.job)
 	s.tightDeadline, s.deadline = s.job.hasTightDeadline(queue), c.deadlineOf(now, s, queue)
 	r := rankedStep{step: s, queue: queue, routed: routed, startBy: s.latestStart(queue), work: s.job.work}
