--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	Crashes       bool          `help:"Make workers start again under their IDs and become unreachable only." xor:"faults"`
 	Organisations int           `help:"To how many organisations with keys the callers belong; 0 means that calls need no key."`
 	Limits        bool          `help:"Give the organisations limits, which change and are checked."`
+	Renames       bool          `help:"Replace routes by ones of other names at the same paths while jobs of theirs run."`
 	Program       string        `help:"The program under test." default:"target/vanillaquay" type:"existingfile"`
 	Report        string        `help:"File that takes the report." default:"target/soak.json" type:"path"`
 	Directory     string        `help:"Directory that takes the settings and logs of the hosts; by default a temporary one, which is kept when a rule is broken." type:"path"`
@@ -59,7 +60,7 @@
 	defer stop()
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: c.Seed, Length: c.Length, Hosts: c.Hosts, Workers: c.Workers, Callers: c.Callers, Takeovers: c.Takeovers, Crashes: c.Crashes,
-		Organisations: c.Organisations, Limits: c.Limits,
+		Organisations: c.Organisations, Limits: c.Limits, Renames: c.Renames,
 		Program: []string{c.Program, "front"}, Directory: directory,
 	})
 	if err != nil {
--- a/intake/call_test.go
+++ b/intake/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	other.ID = "0000000000000000"
 	elsewhere := submission(workload.Step{TaskCount: 1})
 	elsewhere.Queue = "r"
+	badPolicy := submission(workload.Step{TaskCount: 1})
+	badPolicy.Job.Policy = workload.Policy{Version: 1, Stretch: math.NaN()}
 	for _, test := range []struct {
 		call  intake.Call
 		fault string
@@ -36,6 +39,7 @@
 		{submission(workload.Step{TaskCount: -1}), ".*number of tasks -1.*"},
 		{submission(), ".*job of 0 steps.*"},
 		{other, `.*job "5c0e7a21d94b36f8" of queue "q" in a call for "0000000000000000" of "q".*`},
+		{badPolicy, ".*policy with stretch NaN.*"},
 		{elsewhere, `.*in a call for "5c0e7a21d94b36f8" of "r".*`},
 	} {
 		data, err := codec.Marshal(test.call)
--- a/platformstandin/document.go
+++ b/platformstandin/document.go
@@ -1,14 +1,18 @@
 package platformstandin
 
-import "encoding/json"
+import (
+	"cmp"
+	"encoding/json"
+)
 
 // This file encodes documents in the platform's published formats, for deployments that
 // consist of stand-ins.
 
 // Queue describes a queue in a catalogue.
 type Queue struct {
-	// Name is the name of the queue and the first segment of its paths.
-	Name     string
+	Name string
+	// Path is the first segment of its paths; "" is its name.
+	Path     string
 	Attempts int
 	// Advised makes the queue ask the advice service.
 	Advised bool
@@ -37,7 +41,7 @@
 	routes := []map[string]any{}
 	for _, q := range queues {
 		route := map[string]any{
-			"name": q.Name, "host": host, "path_prefix": "/" + q.Name + "/", "timeout_ms": 3000, "slo_ms": 500,
+			"name": q.Name, "host": host, "path_prefix": "/" + cmp.Or(q.Path, q.Name) + "/", "timeout_ms": 3000, "slo_ms": 500,
 			"service": ServiceName, "attempts": q.Attempts, "stretch": 2, "public": q.Public,
 		}
 		if q.Advised {
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -114,6 +116,8 @@
 		i.changeKeys(f.Organisation)
 	case ChangeLimit:
 		i.changeLimit(f.Organisation, f.Limit)
+	case RenameRoute:
+		i.renameRoute(f.Route)
 	case Kill:
 		h.kill()
 		return func() { i.startHost(h) }
@@ -302,6 +306,18 @@
 	i.history.addRoute(added.Name)
 }
 
+// renameRoute replaces a route of the callers by one of another name at the same path.
+func (i *injector) renameRoute(n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.version++
+	i.queues = slices.Clone(i.queues)
+	q := &i.queues[n]
+	q.Path = cmp.Or(q.Path, q.Name)
+	q.Name = fmt.Sprintf("%s-%d", q.Path, i.version)
+	i.putCatalogue()
+}
+
 func (i *injector) putCatalogue() {
 	content, err := platformstandin.CatalogueDocument(i.version, virtualHost, i.queues, i.organisations...)
 	if err != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,6 +25,8 @@
 	// limit.
 	ChangeKeys  Kind = "ChangeKeys"
 	ChangeLimit Kind = "ChangeLimit"
+	// RenameRoute replaces a route of the callers by one of another name at the same path.
+	RenameRoute Kind = "RenameRoute"
 
 	Kill        Kind = "Kill"
 	KillAll     Kind = "KillAll"
@@ -69,7 +71,7 @@
 
 // Planned reports whether a fault is work of an operator.
 func (k Kind) Planned() bool {
-	return slices.Contains(planned, k) || slices.Contains(organisational, k)
+	return slices.Contains(planned, k) || slices.Contains(organisational, k) || k == RenameRoute
 }
 
 // Fault is a fault of a plan.
@@ -95,6 +97,8 @@
 	// new limit in thousandths of a processor.
 	Organisation int
 	Limit        int64
+	// Route is the number of the route that is renamed.
+	Route int
 }
 
 const (
@@ -122,6 +126,10 @@
 	takeoverStream = 1 << 32
 	// organisationStream is that for changes of organisations.
 	organisationStream = 2 << 32
+	// renameStream is that for routes that are renamed, with minRenameInterval and
+	// maxRenameInterval between two of them. Steps take a second.
+	renameStream                         = 3 << 32
+	minRenameInterval, maxRenameInterval = 500 * time.Millisecond, 4 * time.Second
 	// Bounds of the time between two changes of organisations, and of their limits, in
 	// processors. Callers keep about half of 64 processors busy, so that each of 3 organisations
 	// wants more than its limit; a step takes 5 at most.
@@ -235,6 +243,16 @@
 	return plan
 }
 
+// NewRenamePlan draws when routes are renamed in a run, in order.
+func NewRenamePlan(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, renameStream))
+	var plan []Fault
+	for at := between(r, minRenameInterval, maxRenameInterval); at < length; at += between(r, minRenameInterval, maxRenameInterval) {
+		plan = append(plan, Fault{Kind: RenameRoute, At: at, Route: r.IntN(len(queues)), There: true})
+	}
+	return plan
+}
+
 func isPlanned(kinds []Kind) bool {
 	return !slices.ContainsFunc(kinds, func(k Kind) bool { return !k.Planned() })
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -43,6 +43,8 @@
 	// calls need no key. Limits reports whether the organisations have limits.
 	Organisations int
 	Limits        bool
+	// Renames reports whether routes are renamed, beside the other faults.
+	Renames bool
 	// Program is the path and the arguments that start a host.
 	Program []string
 	// Directory holds the settings and logs of the hosts.
@@ -54,12 +56,15 @@
 	plan := o.planFaults()
 	if o.Organisations > 0 {
 		plan = append(plan, NewOrganisationPlan(o.Seed, o.Length, o.Organisations, o.Limits)...)
-		slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	}
+	if o.Renames {
+		plan = append(plan, NewRenamePlan(o.Seed, o.Length)...)
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
-// planFaults draws the faults that do not concern organisations.
+// planFaults draws the faults that do not concern organisations or names of routes.
 func (o Options) planFaults() []Fault {
 	switch {
 	case o.Takeovers:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,8 @@
 	crashes   bool
 	// organisations is the number of organisations of the callers.
 	organisations int
+	// renames reports whether routes are renamed.
+	renames bool
 }{
 	{seed: 3, length: 20 * time.Second},
 	// A host that was paused and replaced as the owner acknowledged cancellations of jobs that
@@ -32,6 +34,8 @@
 	// Keys are withdrawn and added, and limits change, among faults of most kinds. Without the
 	// runs of earlier owners in what counts against a limit, QUOTA is violated.
 	{seed: 4, length: 20 * time.Second, organisations: 3},
+	// Accepted jobs ran no further step once their route had another name.
+	{seed: 5, length: 15 * time.Second, renames: true},
 }
 
 // Six hosts in separate processes keep the rules while faults overlap. Long runs are made
@@ -40,7 +44,7 @@
 	for _, run := range runs {
 		seed := run.seed
 		report, err := soak.Run(context.Background(), soak.Options{
-			Seed: seed, Length: run.length, Takeovers: run.takeovers, Crashes: run.crashes, Hosts: 6, Workers: 8, Callers: 16, Organisations: run.organisations, Limits: run.organisations > 0,
+			Seed: seed, Length: run.length, Takeovers: run.takeovers, Crashes: run.crashes, Hosts: 6, Workers: 8, Callers: 16, Organisations: run.organisations, Limits: run.organisations > 0, Renames: run.renames,
 			Program: []string{os.Args[0], "front"}, Directory: t.TempDir(),
 		})
 		qt.Assert(t, err, qt.IsNil)
