--- a/cell/explain_pass.go
+++ b/cell/explain_pass.go
@@ -13,7 +13,7 @@
 // shared with the original.
 func (c *Cell) copyForExplain() *Cell {
 	v := *c
-	v.actions, v.logEntries, v.changedJobs = Actions{}, nil, nil
+	v.actions, v.logEntries, v.changedJobs, v.adopted = Actions{}, nil, nil, nil
 	v.freeGroups, v.freeGroupsValid = [freeLevels + 1]workerGroup{}, false
 	v.spreads, v.heldBack, v.usage = maps.Clone(c.spreads), maps.Clone(c.heldBack), c.usage.Clone()
 	workers := make(map[*worker]*worker, len(c.sortedWorkers))
--- a/cell/policy.go
+++ b/cell/policy.go
@@ -6,6 +6,10 @@
 	"github.com/vanillaquay/vanillaquay/workload"
 )
 
+// MaxServiceBytes limits the name of a service in the record of a job's progress, so that a part of it
+// fits a row of the store.
+const MaxServiceBytes = 1024
+
 // followCatalogue gives a job the placement that its queue has in the catalogue, unless the catalogue
 // is older than the job's policy. If the operator has removed the queue, the job keeps the placement
 // that it had last. A job that was accepted by an earlier version of this program has no policy, and
@@ -27,10 +31,6 @@
 	}
 }
 
-// MaxServiceBytes limits the name of a service in the record of a job's progress, so that a part of it
-// fits a row of the store.
-const MaxServiceBytes = 1024
-
 // queue returns the queue of a job with the policy that holds for the job.
 func (j *job) queue() workload.Queue { return j.policy.Queue(j.Queue) }
 
--- a/workload/policy.go
+++ b/workload/policy.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"time"
+	"unsafe"
 
 	"github.com/juju/errors"
 )
@@ -67,7 +68,7 @@
 func (p Policy) Bytes() int {
 	size := len(p.Host) + len(p.Prefix) + len(p.Service)
 	if p.Advice != nil {
-		size += adviceBytes
+		size += int(unsafe.Sizeof(*p.Advice))
 	}
 	return size
 }
@@ -76,7 +77,7 @@
 	if p.Version < 0 || p.MaxAttempts < 0 || p.Allowance < 0 {
 		return errors.NotValidf("policy with negative numbers")
 	}
-	if !(p.Stretch >= 0) || math.IsInf(p.Stretch, 1) {
+	if p.Stretch < 0 || math.IsNaN(p.Stretch) || math.IsInf(p.Stretch, 1) {
 		return errors.NotValidf("policy with stretch %g", p.Stretch)
 	}
 	if a := p.Advice; a != nil && (a.BaseDuration < 0 || a.PerWorkerDuration < 0 || a.TicketLifetime < 0) {
@@ -85,9 +86,6 @@
 	return nil
 }
 
-// adviceBytes is the size of an Advice in memory, in bytes.
-const adviceBytes = 24
-
 func (a *Advice) equal(other *Advice) bool {
 	return a == other || a != nil && other != nil && *a == *other
 }
