--- a/cell/removed_queue_test.go
+++ b/cell/removed_queue_test.go
@@ -101,7 +101,6 @@
 
 // GANG: a gang needs the room of tasks whose route was removed. They must make room as before.
 func TestGangPreemptsTasksWithoutTheirQueue(t *testing.T) {
-	first := true
 	w := testGangAmongLongTasks(func(s *workload.Step) { s.Checkpoints = true })
 	qt.Assert(t, len(w.stops) > 0, qt.IsTrue)
 	other := newWorld(4)
@@ -110,7 +109,7 @@
 	other.setQueues(2, "Advised")
 	other.submit(job(id(2), "Advised", 4, func(s *workload.Step) { s.Gang, s.Estimate = true, second }))
 	for range 4 {
-		other.advise(func(string) bool { return first })
+		other.advise(func(string) bool { return true })
 		other.advance(200 * ms)
 	}
 	qt.Assert(t, other.stops, qt.HasLen, len(w.stops))
